Add the thin path: acceptance, cell owner, gangs, answers, short requests

Cause: nothing exists yet; the whole path has to run before parts grow. Change: workspace of four packages, design page, daemon with cell lease and epoch fencing, gang start by reserve, commit, start, stand-ins over HTTP with faults, and a demo. Conclusion: the base on which each part is made real.

--- /dev/null
+++ b/packages/cli/src/cyclamenshelf_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators of cyclamenshelf."""
--- /dev/null
+++ b/packages/core/src/cyclamenshelf_core/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling decisions of cyclamenshelf, without I/O."""
--- /dev/null
+++ b/packages/core/src/cyclamenshelf_core/errors.py
@@ -0,0 +1,227 @@
+"""The tree of typed errors.
+
+Each error has a stable `code` for callers and logs. An error that refuses a
+request also says in `run` whether the request was run.
+"""
+
+import enum
+
+
+class Run(enum.StrEnum):
+    """Whether a refused or ended request was run."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class CyclamenshelfError(Exception):
+    """Base of all errors of the project."""
+
+    code = "internal"
+
+
+class StoreError(CyclamenshelfError):
+    """A call to the table service or the object store failed."""
+
+    code = "store_unavailable"
+
+    def __init__(self, store: str, detail: str) -> None:
+        super().__init__(f"{store}: {detail}")
+        self.store = store
+        self.detail = detail
+
+
+class StoreUnavailableError(StoreError):
+    """The store did not take the call: nothing was written."""
+
+
+class OutcomeUnknownError(StoreError):
+    """The store may or may not have applied the write."""
+
+    code = "outcome_unknown"
+
+
+class WriteConflictError(CyclamenshelfError):
+    """A row did not have the expected version.
+
+    Attributes:
+        versions: Found version by key, for the rows that differ.
+    """
+
+    code = "conflict"
+
+    def __init__(self, versions: dict[str, int]) -> None:
+        super().__init__(f"rows at another version: {versions}")
+        self.versions = versions
+
+
+class LeaseLostError(CyclamenshelfError):
+    """The holder can no longer prove that it holds the cell lease."""
+
+    code = "lease_lost"
+
+    def __init__(self, cell: str, epoch: int) -> None:
+        super().__init__(f"lease of cell {cell} at epoch {epoch} not provable")
+        self.cell = cell
+        self.epoch = epoch
+
+
+class WorkerError(CyclamenshelfError):
+    """A command to a worker failed.
+
+    Attributes:
+        sent: Whether the worker may have received the command.
+    """
+
+    code = "worker_unreachable"
+
+    def __init__(self, worker: str, detail: str, sent: bool) -> None:
+        super().__init__(f"worker {worker}: {detail}")
+        self.worker = worker
+        self.sent = sent
+
+
+class WorkerRefusedError(WorkerError):
+    """The worker answered that it does not carry out the command."""
+
+    code = "worker_refused"
+
+    def __init__(self, worker: str, reason: str) -> None:
+        super().__init__(worker, reason, sent=True)
+        self.reason = reason
+
+
+class FencedError(WorkerRefusedError):
+    """The worker has seen a newer epoch of the cell."""
+
+    code = "fenced"
+
+
+class RequestRefusedError(CyclamenshelfError):
+    """A caller's request is refused.
+
+    Attributes:
+        run: Whether the request was run.
+        status: HTTP status of the answer.
+        field: Name of the offending field, or None.
+        job_id: Id to ask with, or None.
+        retry_after_ms: Earliest useful retry, or None.
+    """
+
+    code = "refused"
+    status = 400
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        run: Run = Run.NOT_RUN,
+        field: str | None = None,
+        job_id: str | None = None,
+        retry_after_ms: int | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.run = run
+        self.field = field
+        self.job_id = job_id
+        self.retry_after_ms = retry_after_ms
+
+
+class InvalidFieldError(RequestRefusedError):
+    """A field of the request is missing, unknown or out of range."""
+
+    code = "invalid_field"
+    status = 422
+
+    def __init__(self, field: str, expected: str, got: object) -> None:
+        super().__init__(
+            f"{field}: expected {expected}, got {got!r:.80}", field=field
+        )
+
+
+class UnauthenticatedError(RequestRefusedError):
+    """The bearer token matches no client account."""
+
+    code = "unauthenticated"
+    status = 401
+
+
+class NotFoundError(RequestRefusedError):
+    """The caller's account has no such resource."""
+
+    code = "not_found"
+    status = 404
+
+
+class KeyReusedError(RequestRefusedError):
+    """The idempotency key was used before with another body."""
+
+    code = "idempotency_key_reused"
+    status = 409
+
+
+class NeverFitsError(RequestRefusedError):
+    """The job is larger than its plan allows or than any worker offers."""
+
+    code = "never_fits"
+    status = 422
+
+
+class QueueFullError(RequestRefusedError):
+    """The account's queue or rate is at its limit."""
+
+    code = "queue_full"
+    status = 429
+
+
+class StoreDownError(RequestRefusedError):
+    """The request needs the store, which does not answer."""
+
+    code = "store_unavailable"
+    status = 503
+
+
+class ConfigurationUnconfirmedError(RequestRefusedError):
+    """The host cannot confirm that its configuration is current."""
+
+    code = "configuration_unconfirmed"
+    status = 503
+
+
+class BackendFailedError(RequestRefusedError):
+    """No backend server answered the request whole."""
+
+    code = "backend_failed"
+    status = 502
+
+
+class BodyTooLargeError(RequestRefusedError):
+    """The request body is over the limit."""
+
+    code = "body_too_large"
+    status = 413
+
+
+class InvalidListsError(CyclamenshelfError):
+    """The operators' lists do not parse or break a rule.
+
+    Attributes:
+        problems: One text per problem, with file, line and field.
+    """
+
+    code = "invalid_lists"
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("; ".join(problems))
+        self.problems = problems
+
+
+class InvalidSettingsError(CyclamenshelfError):
+    """The settings file breaks its schema."""
+
+    code = "invalid_settings"
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("; ".join(problems))
+        self.problems = problems
--- /dev/null
+++ b/packages/core/src/cyclamenshelf_core/jobrows.py
@@ -0,0 +1,68 @@
+"""Encoding of jobs as table rows."""
+
+import hashlib
+import json
+from typing import Any
+
+from cyclamenshelf_core import model
+
+
+def make_job_id(account: str, idempotency_key: str) -> str:
+    """Return the id that the account's idempotency key stands for.
+
+    The same key gives the same id on every host, so that inserting the job
+    row is also the check for a repeated submission.
+    """
+    text = json.dumps([account, idempotency_key])
+    return "j-" + hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+def make_digest(body: Any) -> str:
+    """Return the SHA-256 of a JSON body, independent of key order."""
+    text = json.dumps(body, sort_keys=True, separators=(",", ":"))
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def encode_job(job: model.Job) -> dict[str, Any]:
+    """Return the row value of a job."""
+    row = job._asdict()
+    row["spec"] = job.spec._asdict() | {"shape": job.spec.shape._asdict()}
+    row["placement"] = [list(part) for part in job.placement]
+    row["manifest"] = [list(part) for part in job.manifest]
+    row["history"] = list(job.history)
+    return row
+
+
+def decode_job(row: dict[str, Any]) -> model.Job:
+    """Return the job of a row value."""
+    shape = row["spec"]["shape"]
+    spec = model.JobSpec(
+        **row["spec"]
+        | {
+            "shape": model.Shape(
+                shape["parts"],
+                shape["accelerators"],
+                model.Within(shape["within"]),
+            ),
+            "urgency": model.Urgency(row["spec"]["urgency"]),
+        }
+    )
+    return model.Job(
+        **row
+        | {
+            "spec": spec,
+            "state": model.JobState(row["state"]),
+            "placement": tuple(
+                model.PartPlacement(*part) for part in row["placement"]
+            ),
+            "manifest": tuple(
+                model.AnswerPart(*part) for part in row["manifest"]
+            ),
+            "history": tuple(row["history"]),
+        }
+    )
+
+
+def make_task_id(job_id: str, attempt: int, part: int) -> str:
+    """Return the id that a worker knows one part of an attempt by."""
+    return f"{job_id}.{attempt}.{part}"
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of cyclamenshelf."""
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/acceptance.py
@@ -0,0 +1,194 @@
+"""Commands of callers: accepting and cancelling jobs."""
+
+from collections.abc import Callable
+import json
+from typing import Any
+from typing import NamedTuple
+
+from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_core import errors
+from cyclamenshelf_core import jobrows
+from cyclamenshelf_core import jobspec
+from cyclamenshelf_core import model
+from cyclamenshelf_daemon import groupcommit
+from cyclamenshelf_daemon import hostlist
+from cyclamenshelf_daemon import jobpoller
+from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon import objectclient
+from cyclamenshelf_daemon import tableclient
+
+MAX_KEY_LENGTH = 200
+_COMMIT_TIMEOUT_S = 20
+_RETRY_AFTER_MS = 2_000
+
+
+class AcceptanceContext(NamedTuple):
+    """What accepting jobs needs from the process.
+
+    Attributes:
+        on_changed: Called with the kind of change and the job id.
+    """
+
+    cell: str
+    table: tableclient.TableClient
+    committer: groupcommit.GroupCommitter
+    objects: objectclient.ObjectClient
+    host_list: hostlist.HostList
+    clock: clocks.Clock
+    get_lists: Callable[[], model.Lists]
+    on_changed: Callable[[str, str], None]
+
+
+class Accepted(NamedTuple):
+    """An accepted job.
+
+    Attributes:
+        journaled: Whether the object store holds it instead of the table.
+    """
+
+    job: model.Job
+    journaled: bool
+
+
+def accept_job(
+    context: AcceptanceContext, account: str, key: str | None, body: Any
+) -> Accepted:
+    """Accept a job durably, once for each idempotency key.
+
+    Raises:
+        errors.RequestRefusedError: The job is refused; `run` says what is certain.
+    """
+    if not key or len(key) > MAX_KEY_LENGTH:
+        raise errors.InvalidFieldError(
+            "Idempotency-Key", f"1 to {MAX_KEY_LENGTH} characters", key
+        )
+    wall_ms = context.clock.wall_ms()
+    spec = jobspec.parse_job_spec(body, wall_ms)
+    _check_fits(context, account, spec.shape)
+    job = model.Job(
+        id=jobrows.make_job_id(account, key),
+        account=account,
+        cell=context.cell,
+        digest=jobrows.make_digest(body),
+        spec=spec,
+        state=model.JobState.QUEUED,
+        accepted_ms=wall_ms,
+    )
+    accepted = _store_job(context, job)
+    logs.log_event(
+        "job_accepted",
+        job=job.id,
+        account=account,
+        journaled=accepted.journaled,
+    )
+    context.on_changed("accepted", job.id)
+    return accepted
+
+
+def cancel_job(context: AcceptanceContext, job: model.Job) -> None:
+    """Ask the cell owner to cancel a job.
+
+    Raises:
+        errors.StoreDownError: The wish could not be stored.
+    """
+    key = f"cancel/{job.cell}/{job.id}"
+    try:
+        groupcommit.submit_transaction(
+            context.committer,
+            tableclient.Transaction({key: 0}, {key: {}}),
+        ).result(timeout=_COMMIT_TIMEOUT_S)
+    except errors.WriteConflictError:
+        pass  # The same wish is stored already.
+    except errors.StoreError as error:
+        raise errors.StoreDownError(
+            str(error),
+            run=errors.Run.UNKNOWN,
+            job_id=job.id,
+            retry_after_ms=_RETRY_AFTER_MS,
+        ) from error
+    context.on_changed("cancel", job.id)
+
+
+def _check_fits(
+    context: AcceptanceContext, account: str, shape: model.Shape
+) -> None:
+    plan = model.get_plan(context.get_lists(), account)
+    total = shape.parts * shape.accelerators
+    if total > plan.max_accelerators:
+        raise errors.NeverFitsError(
+            f"{total} accelerators; plan {plan.name} allows "
+            f"{plan.max_accelerators}"
+        )
+    workers = context.host_list.hosts.workers.values()
+    largest = max((worker.accelerators for worker in workers), default=0)
+    if workers and shape.accelerators > largest:
+        raise errors.NeverFitsError(
+            f"{shape.accelerators} accelerators in a part; the largest "
+            f"worker has {largest}"
+        )
+
+
+def _store_job(context: AcceptanceContext, job: model.Job) -> Accepted:
+    row = jobrows.encode_job(job)
+    try:
+        groupcommit.submit_transaction(
+            context.committer, jobpoller.make_insert(job.id, job.cell, row)
+        ).result(timeout=_COMMIT_TIMEOUT_S)
+    except errors.WriteConflictError:
+        return Accepted(_read_first(context, job), journaled=False)
+    except errors.StoreError as error:
+        return _journal_job(context, job, row, error)
+    return Accepted(job, journaled=False)
+
+
+def _read_first(context: AcceptanceContext, job: model.Job) -> model.Job:
+    """Return the job that the key was first used for."""
+    try:
+        rows = tableclient.read_rows(context.table, [f"job/{job.id}"])
+    except errors.StoreUnavailableError as error:
+        raise _make_store_down(job, error, errors.Run.UNKNOWN) from error
+    first = jobrows.decode_job(rows[f"job/{job.id}"].value)
+    _check_same_body(first, job)
+    return first
+
+
+def _check_same_body(first: model.Job, job: model.Job) -> None:
+    if first.digest != job.digest:
+        raise errors.KeyReusedError(
+            "the idempotency key was used with another body", job_id=job.id
+        )
+
+
+def _journal_job(
+    context: AcceptanceContext,
+    job: model.Job,
+    row: dict[str, Any],
+    error: errors.StoreError,
+) -> Accepted:
+    """Accept into the object store, as the table does not take the job."""
+    key = f"accept/{job.cell}/{job.id}"
+    try:
+        written = objectclient.put_object_if_absent(
+            context.objects, key, json.dumps(row).encode()
+        )
+        if not written:
+            content = objectclient.get_object(context.objects, key)
+            if content is not None:
+                first = jobrows.decode_job(json.loads(content))
+                _check_same_body(first, job)
+    except errors.StoreError as second:
+        outcomes = (error, second)
+        unsent = all(
+            isinstance(one, errors.StoreUnavailableError) for one in outcomes
+        )
+        run = errors.Run.NOT_RUN if unsent else errors.Run.UNKNOWN
+        raise _make_store_down(job, second, run) from second
+    return Accepted(job, journaled=True)
+
+
+def _make_store_down(
+    job: model.Job, error: errors.StoreError, run: errors.Run
+) -> errors.StoreDownError:
+    return errors.StoreDownError(
+        str(error), run=run, job_id=job.id, retry_after_ms=_RETRY_AFTER_MS
+    )
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/hostlist.py
@@ -0,0 +1,119 @@
+"""The platform's host list, polled."""
+
+import threading
+from typing import Any
+from typing import NamedTuple
+
+import urllib3
+
+from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_core import model
+from cyclamenshelf_daemon import httpclient
+from cyclamenshelf_daemon import logs
+
+_POLL_INTERVAL_MS = 1_000
+_CALL_TIMEOUT_MS = 2_000
+
+
+class Backend(NamedTuple):
+    """A backend server as the host list describes it."""
+
+    id: str
+    address: str
+    service: str
+    slots: int
+    leaving: bool
+
+
+class EntryHost(NamedTuple):
+    """An entry host as the host list describes it."""
+
+    id: str
+    address: str
+    leaving: bool
+
+
+class Hosts(NamedTuple):
+    """One reading of the host list; workers that leave are not listed."""
+
+    workers: dict[str, model.Worker]
+    backends: dict[str, Backend]
+    entries: dict[str, EntryHost]
+
+
+class HostList:
+    """The last reading; it stays in force while the list does not answer."""
+
+    def __init__(
+        self, pool: urllib3.PoolManager, url: str, clock: clocks.Clock
+    ) -> None:
+        self.pool = pool
+        self.url = url
+        self.clock = clock
+        self.hosts = Hosts({}, {}, {})
+        self.read_at_ms: int | None = None
+
+
+def start_polling(host_list: HostList) -> None:
+    """Read the list once, then keep reading it in a thread."""
+    refresh_hosts(host_list)
+    threading.Thread(
+        target=_poll, args=(host_list,), name="host-list", daemon=True
+    ).start()
+
+
+def refresh_hosts(host_list: HostList) -> None:
+    """Read the list; keep the last reading if it does not answer."""
+    try:
+        status, answer = httpclient.call_json(
+            host_list.pool,
+            "GET",
+            host_list.url + "/v1/hosts",
+            timeout_ms=_CALL_TIMEOUT_MS,
+        )
+    except httpclient.HttpFailureError as failure:
+        logs.log_event("host_list_failed", "WARNING", detail=failure)
+        return
+    if status == 200:
+        host_list.hosts = _decode_hosts(answer["hosts"])
+        host_list.read_at_ms = host_list.clock.now_ms()
+
+
+def _poll(host_list: HostList) -> None:
+    while True:
+        host_list.clock.sleep_ms(_POLL_INTERVAL_MS)
+        refresh_hosts(host_list)
+
+
+def _decode_hosts(hosts: list[dict[str, Any]]) -> Hosts:
+    return Hosts(
+        workers={
+            host["id"]: model.Worker(
+                host["id"],
+                host["address"],
+                host["data_centre"],
+                host["rack"],
+                host["accelerators"],
+            )
+            for host in hosts
+            if host["kind"] == "worker" and host["state"] == "live"
+        },
+        backends={
+            host["id"]: Backend(
+                host["id"],
+                host["address"],
+                host["service"],
+                host["slots"],
+                host["state"] == "leaving",
+            )
+            for host in hosts
+            if host["kind"] == "backend"
+        },
+        entries={
+            host["id"]: EntryHost(
+                host["id"], host["address"], host["state"] == "leaving"
+            )
+            for host in hosts
+            if host["kind"] == "entry"
+        },
+    )
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/httpclient.py
@@ -0,0 +1,96 @@
+"""HTTP calls whose failures say whether the request may have been received."""
+
+import json
+from typing import Any
+from typing import NamedTuple
+
+import urllib3
+
+_POOLS = 512
+_CONNECT_TIMEOUT_MS = 1_000
+
+
+class HttpResult(NamedTuple):
+    """The answer to a call; header names are case-insensitive."""
+
+    status: int
+    headers: urllib3.HTTPHeaderDict
+    body: bytes
+
+
+class HttpFailureError(Exception):
+    """A call got no answer.
+
+    Attributes:
+        sent: Whether the server may have received the request.
+    """
+
+    def __init__(self, detail: str, sent: bool) -> None:
+        super().__init__(detail)
+        self.sent = sent
+
+
+def make_pool(connections: int = 16) -> urllib3.PoolManager:
+    """Return a connection pool; `connections` are kept for each server."""
+    return urllib3.PoolManager(
+        num_pools=_POOLS, maxsize=connections, retries=False
+    )
+
+
+def call(
+    pool: urllib3.PoolManager,
+    method: str,
+    url: str,
+    *,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    timeout_ms: int,
+) -> HttpResult:
+    """Send a request once and return the whole answer.
+
+    Raises:
+        HttpFailureError: No whole answer came.
+    """
+    timeout = urllib3.Timeout(
+        connect=min(timeout_ms, _CONNECT_TIMEOUT_MS) / 1000,
+        read=timeout_ms / 1000,
+    )
+    try:
+        response = pool.request(
+            method, url, body=body, headers=headers, timeout=timeout
+        )
+    except (
+        urllib3.exceptions.NewConnectionError,
+        urllib3.exceptions.ConnectTimeoutError,
+    ) as error:
+        raise HttpFailureError(type(error).__name__, sent=False) from error
+    except urllib3.exceptions.HTTPError as error:
+        raise HttpFailureError(type(error).__name__, sent=True) from error
+    return HttpResult(response.status, response.headers, response.data)
+
+
+def call_json(
+    pool: urllib3.PoolManager,
+    method: str,
+    url: str,
+    value: Any = None,
+    *,
+    timeout_ms: int,
+) -> tuple[int, Any]:
+    """Send a JSON body and return the status and the decoded answer.
+
+    Raises:
+        HttpFailureError: No whole answer came, or it is not JSON.
+    """
+    result = call(
+        pool,
+        method,
+        url,
+        body=None if value is None else json.dumps(value).encode(),
+        headers={"Content-Type": "application/json"},
+        timeout_ms=timeout_ms,
+    )
+    try:
+        return result.status, json.loads(result.body)
+    except ValueError as error:
+        raise HttpFailureError("answer is not JSON", sent=True) from error
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/workerclient.py
@@ -0,0 +1,172 @@
+"""Commands to workers; each carries the cell and the epoch of its sender."""
+
+import json
+from typing import Any
+from typing import NamedTuple
+
+import urllib3
+
+from cyclamenshelf_core import errors
+from cyclamenshelf_core import model
+from cyclamenshelf_daemon import httpclient
+
+COMMAND_TIMEOUT_MS = 1_200
+_ANSWER_TIMEOUT_MS = 10_000
+MAX_ANSWER_BYTES = 1024 * 1024
+
+
+class WorkerClient(NamedTuple):
+    """Access to workers as the owner of a cell at an epoch."""
+
+    pool: urllib3.PoolManager
+    cell: str
+    epoch: int
+
+
+class TaskReport(NamedTuple):
+    """What a worker says of a task.
+
+    Attributes:
+        state: reserved, running, finished, failed, stopped, lapsed or absent.
+        ran: Whether the task was ever started.
+    """
+
+    id: str
+    state: str
+    ran: bool
+
+
+def reserve_task(
+    client: WorkerClient,
+    worker: model.Worker,
+    task_id: str,
+    accelerators: int,
+    lease_ms: int,
+) -> TaskReport:
+    """Reserve accelerators for a task; repeating it does no harm."""
+    return _send_task(
+        client,
+        worker,
+        "PUT",
+        task_id,
+        {"accelerators": accelerators, "lease_ms": lease_ms},
+    )
+
+
+def start_task(
+    client: WorkerClient,
+    worker: model.Worker,
+    task_id: str,
+    payload: Any,
+    lease_ms: int,
+) -> TaskReport:
+    """Start a reserved task; repeating it does no harm."""
+    return _send_task(
+        client,
+        worker,
+        "POST",
+        task_id + "/start",
+        {"payload": payload, "lease_ms": lease_ms},
+    )
+
+
+def stop_task(
+    client: WorkerClient, worker: model.Worker, task_id: str, mode: str
+) -> TaskReport:
+    """Stop a task; `mode` is stop or checkpoint."""
+    return _send_task(client, worker, "POST", task_id + "/stop", {"mode": mode})
+
+
+def forget_task(
+    client: WorkerClient, worker: model.Worker, task_id: str
+) -> None:
+    """Let the worker drop an ended task and its answer."""
+    _send(client, worker, "DELETE", f"/v1/tasks/{task_id}", {})
+
+
+def renew_leases(
+    client: WorkerClient,
+    worker: model.Worker,
+    task_ids: tuple[str, ...],
+    lease_ms: int,
+) -> dict[str, TaskReport]:
+    """Renew task leases and return all tasks of the cell on the worker."""
+    answer = _send(
+        client,
+        worker,
+        "POST",
+        "/v1/renewals",
+        {"tasks": task_ids, "lease_ms": lease_ms},
+    )
+    return {task["id"]: TaskReport(**task) for task in answer["tasks"]}
+
+
+def fetch_answer(
+    client: WorkerClient, worker: model.Worker, task_id: str
+) -> bytes:
+    """Return the answer of a finished task, at most `MAX_ANSWER_BYTES`."""
+    try:
+        result = httpclient.call(
+            client.pool,
+            "GET",
+            f"{worker.address}/v1/tasks/{task_id}/answer",
+            timeout_ms=_ANSWER_TIMEOUT_MS,
+        )
+    except httpclient.HttpFailureError as failure:
+        raise errors.WorkerError(
+            worker.id, str(failure), failure.sent
+        ) from failure
+    if result.status != 200:
+        raise errors.WorkerRefusedError(worker.id, f"answer {result.status}")
+    if len(result.body) > MAX_ANSWER_BYTES:
+        raise errors.WorkerRefusedError(worker.id, "answer_too_large")
+    return result.body
+
+
+def _send_task(
+    client: WorkerClient,
+    worker: model.Worker,
+    method: str,
+    task_path: str,
+    body: dict[str, Any],
+) -> TaskReport:
+    answer = _send(client, worker, method, f"/v1/tasks/{task_path}", body)
+    return TaskReport(**answer)
+
+
+def _send(
+    client: WorkerClient,
+    worker: model.Worker,
+    method: str,
+    path: str,
+    body: dict[str, Any],
+) -> Any:
+    """Send a command.
+
+    Raises:
+        errors.WorkerError: No answer came.
+        errors.WorkerRefusedError: The worker does not carry it out.
+        errors.FencedError: The worker has seen a newer epoch.
+    """
+    envelope = body | {"cell": client.cell, "epoch": client.epoch}
+    try:
+        result = httpclient.call(
+            client.pool,
+            method,
+            worker.address + path,
+            body=json.dumps(envelope, separators=(",", ":")).encode(),
+            headers={"Content-Type": "application/json"},
+            timeout_ms=COMMAND_TIMEOUT_MS,
+        )
+        answer = json.loads(result.body)
+    except httpclient.HttpFailureError as failure:
+        raise errors.WorkerError(
+            worker.id, str(failure), failure.sent
+        ) from failure
+    except ValueError as error:
+        raise errors.WorkerError(worker.id, "not JSON", True) from error
+    if result.status == 409 and answer.get("code") == "fenced":
+        raise errors.FencedError(worker.id, "fenced")
+    if result.status != 200:
+        raise errors.WorkerRefusedError(worker.id, str(answer.get("code")))
+    return answer
--- /dev/null
+++ b/packages/standin/src/cyclamenshelf_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, for tests and trials."""
--- /dev/null
+++ b/packages/standin/src/cyclamenshelf_standin/hostservice.py
@@ -0,0 +1,45 @@
+"""Stand-in for the platform's list of live and leaving hosts."""
+
+import json
+import threading
+from typing import Any
+
+from cyclamenshelf_daemon import webserver
+
+
+class Hosts:
+    """Hosts by id, as the host list describes them."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.hosts: dict[str, dict[str, Any]] = {}
+
+
+def make_handler(hosts: Hosts) -> webserver.Handler:
+    """Return the HTTP handler of a host list."""
+
+    def get(request: webserver.Request) -> webserver.Response:
+        with hosts.lock:
+            return webserver.make_json(
+                200, {"hosts": list(hosts.hosts.values())}
+            )
+
+    def put(request: webserver.Request) -> webserver.Response:
+        (host_id,) = request.args
+        with hosts.lock:
+            hosts.hosts[host_id] = json.loads(request.body) | {"id": host_id}
+        return webserver.make_json(200, {})
+
+    def delete(request: webserver.Request) -> webserver.Response:
+        (host_id,) = request.args
+        with hosts.lock:
+            hosts.hosts.pop(host_id, None)
+        return webserver.make_json(200, {})
+
+    return webserver.make_router(
+        [
+            ("GET", "/v1/hosts", get),
+            ("PUT", "/v1/hosts/([^/]+)", put),
+            ("DELETE", "/v1/hosts/([^/]+)", delete),
+        ]
+    )
