--- a/packages/daemon/src/cyclamenshelf_daemon/acceptance.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/acceptance.py
@@ -56,7 +56,7 @@
     """Accept a job durably, once for each idempotency key.
 
     Raises:
-        errors.RequestRefusedError: The job is refused; `run` says what is certain.
+        errors.RequestRefusedError: `run` says whether the job was run.
     """
     if not key or len(key) > MAX_KEY_LENGTH:
         raise errors.InvalidFieldError(
--- a/packages/daemon/src/cyclamenshelf_daemon/settings.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/settings.py
@@ -28,7 +28,7 @@
     """Return the settings of a file.
 
     Raises:
-        errors.InvalidSettingsError: The file cannot be read or breaks the schema.
+        errors.InvalidSettingsError: The file is unreadable or invalid.
     """
     try:
         with open(path, encoding="utf-8") as file:
@@ -42,7 +42,7 @@
     """Return checked settings.
 
     Raises:
-        errors.InvalidSettingsError: A key is unknown, missing or of a wrong type.
+        errors.InvalidSettingsError: With every problem found.
     """
     if not isinstance(values, dict):
         raise errors.InvalidSettingsError(["settings: expected a mapping"])
--- a/packages/daemon/src/cyclamenshelf_daemon/tableclient.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tableclient.py
@@ -68,7 +68,7 @@
         give_up_ms: Monotonic time after which nothing is sent again.
 
     Raises:
-        errors.WriteConflictError: A row has another version; nothing was written.
+        errors.WriteConflictError: A row differs; nothing was written.
         errors.StoreUnavailableError: The service did not take the transaction.
         errors.OutcomeUnknownError: The transaction may or may not be applied.
     """
