Add guarantee assignment and secrets as fixed interfaces

Cause: several parts are about to be built in parallel and need the same interfaces. Change: a first-fit assignment of guarantees, secrets apart from settings, and the operators' token hash in the settings.

--- a/packages/core/src/cyclamenshelf_core/policy.py
+++ b/packages/core/src/cyclamenshelf_core/policy.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from cyclamenshelf_core import guarantees
 from cyclamenshelf_core import model
 
 
@@ -87,9 +88,9 @@
 ) -> model.Placement | None:
     groups: dict[tuple[str, ...], list[str]] = {}
     for worker in workers.values():
-        groups.setdefault(_get_group(worker, shape.within), []).append(
-            worker.id
-        )
+        groups.setdefault(
+            guarantees.get_group(worker, shape.within), []
+        ).append(worker.id)
     for members in groups.values():
         placement: list[model.PartPlacement] = []
         for worker_id in members:
@@ -101,11 +102,3 @@
         if len(placement) == shape.parts:
             return tuple(placement)
     return None
-
-
-def _get_group(worker: model.Worker, within: model.Within) -> tuple[str, ...]:
-    if within is model.Within.RACK:
-        return (worker.data_centre, worker.rack)
-    if within is model.Within.DATA_CENTRE:
-        return (worker.data_centre,)
-    return ()
--- a/packages/daemon/src/cyclamenshelf_daemon/daemon.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/daemon.py
@@ -47,7 +47,9 @@
 
 
 def start_daemon(
-    settings: settings_files.Settings, clock: clocks.Clock
+    settings: settings_files.Settings,
+    secrets: settings_files.Secrets,
+    clock: clocks.Clock,
 ) -> Daemon:
     """Start all parts of a daemon."""
     pool = httpclient.make_pool()
--- a/packages/daemon/src/cyclamenshelf_daemon/main.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/main.py
@@ -30,6 +30,7 @@
     arguments = docopt.docopt(__doc__)
     try:
         settings = settings_files.read_settings(arguments["--settings"])
+        secrets = settings_files.read_secrets(settings)
     except errors.InvalidSettingsError as error:
         for problem in error.problems:
             print(f"{arguments['--settings']}: {problem}", file=sys.stderr)
@@ -40,7 +41,7 @@
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopping.set())
-    running = daemon.start_daemon(settings, clocks.make_system_clock())
+    running = daemon.start_daemon(settings, secrets, clocks.make_system_clock())
     stopping.wait()
     daemon.stop_daemon(running)
     return 0
--- a/packages/daemon/src/cyclamenshelf_daemon/settings.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/settings.py
@@ -22,6 +22,18 @@
     table_url: str
     objects_url: str
     hosts_url: str
+    peer_key_file: str
+    operator_token_sha256: str
+
+
+class Secrets(NamedTuple):
+    """Secrets that the settings name the files of.
+
+    Attributes:
+        peer_key: Key that signs the messages between entry hosts.
+    """
+
+    peer_key: bytes
 
 
 def read_settings(path: str) -> Settings:
@@ -58,3 +70,22 @@
     if problems:
         raise errors.InvalidSettingsError(problems)
     return Settings(**values)
+
+
+def read_secrets(settings: Settings) -> Secrets:
+    """Return the secrets of the files that the settings name.
+
+    Raises:
+        errors.InvalidSettingsError: A file is unreadable or empty.
+    """
+    path = settings.peer_key_file
+    try:
+        with open(path, "rb") as file:
+            peer_key = file.read().strip()
+    except OSError as error:
+        raise errors.InvalidSettingsError(
+            [f"peer_key_file: {error}"]
+        ) from error
+    if not peer_key:
+        raise errors.InvalidSettingsError([f"peer_key_file: {path} is empty"])
+    return Secrets(peer_key)
--- a/packages/standin/src/cyclamenshelf_standin/demo.py
+++ b/packages/standin/src/cyclamenshelf_standin/demo.py
@@ -34,7 +34,10 @@
             table_url=platform.table_url,
             objects_url=platform.objects_url,
             hosts_url=platform.hosts_url,
+            peer_key_file="",
+            operator_token_sha256=platforms.DEMO_OPERATOR_SHA256,
         ),
+        settings_files.Secrets(peer_key=b"demo"),
         clocks.make_system_clock(),
     )
     url = f"http://127.0.0.1:{running.caller_server.port}/v1/jobs"
--- a/packages/standin/src/cyclamenshelf_standin/platform.py
+++ b/packages/standin/src/cyclamenshelf_standin/platform.py
@@ -30,6 +30,8 @@
 from cyclamenshelf_standin import workerservice
 
 DEMO_TOKEN = "demo-token"
+DEMO_OPERATOR_TOKEN = "demo-operator"
+DEMO_OPERATOR_SHA256 = hashlib.sha256(DEMO_OPERATOR_TOKEN.encode()).hexdigest()
 _THREADS = 24
 _ACCELERATORS = 8
 _SLOTS = 8
