--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/metrics.py
@@ -0,0 +1,101 @@
+"""Counters and latency histograms, in the usual text exposition format."""
+
+import threading
+
+from hdrh import histogram
+
+_LOWEST_MS = 1
+_HIGHEST_MS = 24 * 3600 * 1000
+_SIGNIFICANT_FIGURES = 2
+_QUANTILES = (0.5, 0.9, 0.99, 0.999)
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class Metrics:
+    """Counters and histograms by name and labels."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.counters: dict[tuple[str, Labels], int] = {}
+        self.histograms: dict[tuple[str, Labels], histogram.HdrHistogram] = {}
+        self.sums: dict[tuple[str, Labels], int] = {}
+
+
+def count_event(
+    metrics: Metrics, name: str, amount: int = 1, **labels: str
+) -> None:
+    """Add to a counter; its exposed name ends in `_total`."""
+    key = (name, _sort_labels(labels))
+    with metrics.lock:
+        metrics.counters[key] = metrics.counters.get(key, 0) + amount
+
+
+def record_duration(
+    metrics: Metrics, name: str, duration_ms: int, **labels: str
+) -> None:
+    """Add a duration in milliseconds to a histogram."""
+    key = (name, _sort_labels(labels))
+    value = max(_LOWEST_MS, min(duration_ms, _HIGHEST_MS))
+    with metrics.lock:
+        recorded = metrics.histograms.get(key)
+        if recorded is None:
+            recorded = histogram.HdrHistogram(
+                _LOWEST_MS, _HIGHEST_MS, _SIGNIFICANT_FIGURES
+            )
+            metrics.histograms[key] = recorded
+        recorded.record_value(value)
+        metrics.sums[key] = metrics.sums.get(key, 0) + value
+
+
+def format_metrics(metrics: Metrics) -> str:
+    """Return all metrics as text, one sample a line."""
+    with metrics.lock:
+        lines = _format_counters(metrics) + _format_histograms(metrics)
+    return "\n".join(lines) + "\n"
+
+
+def _sort_labels(labels: dict[str, str]) -> Labels:
+    return tuple(sorted(labels.items()))
+
+
+def _format_counters(metrics: Metrics) -> list[str]:
+    lines: list[str] = []
+    last = ""
+    for (name, labels), value in sorted(metrics.counters.items()):
+        exposed = f"cyclamenshelf_{name}_total"
+        if name != last:
+            lines.append(f"# TYPE {exposed} counter")
+            last = name
+        lines.append(f"{exposed}{_format_labels(labels)} {value}")
+    return lines
+
+
+def _format_histograms(metrics: Metrics) -> list[str]:
+    lines: list[str] = []
+    last = ""
+    for (name, labels), recorded in sorted(
+        metrics.histograms.items(), key=lambda item: item[0]
+    ):
+        exposed = f"cyclamenshelf_{name}_ms"
+        if name != last:
+            lines.append(f"# TYPE {exposed} summary")
+            last = name
+        for quantile in _QUANTILES:
+            value = recorded.get_value_at_percentile(100 * quantile)
+            quantile_labels = (*labels, ("quantile", str(quantile)))
+            lines.append(f"{exposed}{_format_labels(quantile_labels)} {value}")
+        suffix = _format_labels(labels)
+        lines.append(f"{exposed}_sum{suffix} {metrics.sums[(name, labels)]}")
+        lines.append(f"{exposed}_count{suffix} {recorded.get_total_count()}")
+    return lines
+
+
+def _format_labels(labels: Labels) -> str:
+    if not labels:
+        return ""
+    return "{" + ",".join(f'{key}="{_escape(v)}"' for key, v in labels) + "}"
+
+
+def _escape(value: str) -> str:
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
