--- a/packages/daemon/src/cyclamenshelf_daemon/hostlist.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/hostlist.py
@@ -1,5 +1,10 @@
-"""The platform's host list, polled."""
+"""The platform's host list, polled.
 
+An unchanged list is answered with 304, so that polling it each second costs
+little at any number of hosts.
+"""
+
+import json
 import threading
 from typing import Any
 from typing import NamedTuple
@@ -52,6 +57,7 @@
         self.clock = clock
         self.hosts = Hosts({}, {}, {})
         self.read_at_ms: int | None = None
+        self.etag = ""
 
 
 def start_polling(host_list: HostList) -> None:
@@ -65,17 +71,22 @@
 def refresh_hosts(host_list: HostList) -> None:
     """Read the list; keep the last reading if it does not answer."""
     try:
-        status, answer = httpclient.call_json(
+        result = httpclient.call(
             host_list.pool,
             "GET",
             host_list.url + "/v1/hosts",
+            headers={"If-None-Match": host_list.etag},
             timeout_ms=_CALL_TIMEOUT_MS,
         )
-    except httpclient.HttpFailureError as failure:
-        logs.log_event("host_list_failed", "WARNING", detail=failure)
+        if result.status == 200:
+            hosts = _decode_hosts(json.loads(result.body)["hosts"])
+    except (httpclient.HttpFailureError, ValueError, KeyError) as error:
+        logs.log_event("host_list_failed", "WARNING", detail=error)
         return
-    if status == 200:
-        host_list.hosts = _decode_hosts(answer["hosts"])
+    if result.status == 200:
+        host_list.hosts = hosts
+        host_list.etag = result.headers.get("ETag", "")
+    if result.status in (200, 304):
         host_list.read_at_ms = host_list.clock.now_ms()
 
 
--- a/packages/standin/src/cyclamenshelf_standin/hostservice.py
+++ b/packages/standin/src/cyclamenshelf_standin/hostservice.py
@@ -1,5 +1,6 @@
 """Stand-in for the platform's list of live and leaving hosts."""
 
+import hashlib
 import json
 import threading
 from typing import Any
@@ -20,9 +21,11 @@
 
     def get(request: webserver.Request) -> webserver.Response:
         with hosts.lock:
-            return webserver.make_json(
-                200, {"hosts": list(hosts.hosts.values())}
-            )
+            content = json.dumps({"hosts": list(hosts.hosts.values())})
+        etag = hashlib.sha256(content.encode()).hexdigest()
+        if request.headers.get("if-none-match") == etag:
+            return webserver.Response(304)
+        return webserver.Response(200, content.encode(), (("ETag", etag),))
 
     def put(request: webserver.Request) -> webserver.Response:
         (host_id,) = request.args
--- a/packages/standin/src/cyclamenshelf_standin/platform.py
+++ b/packages/standin/src/cyclamenshelf_standin/platform.py
@@ -79,6 +79,7 @@
     workers: int = 8,
     racks: int = 2,
     backends: int = 4,
+    accelerators: int = _ACCELERATORS,
     port_base: int = 0,
     plans: str = PLANS,
     allowances: str = ALLOWANCES,
@@ -87,7 +88,7 @@
     table, objects = tableservice.Table(), objectstore.Objects()
     hosts = hostservice.Hosts()
     worker_states = {
-        f"w{index}": workerservice.Worker(f"w{index}", _ACCELERATORS)
+        f"w{index}": workerservice.Worker(f"w{index}", accelerators)
         for index in range(workers)
     }
     backend_states = {
