Compute the service-level burn of ended jobs

Cause: the operators' report needs burn rates over short and long windows, the budget left and what burnt it. Change: pure computation from ended jobs, three objectives.

--- /dev/null
+++ b/testing/core/test_burn.py
@@ -0,0 +1,79 @@
+import pytest
+
+from cyclamenshelf_core import burn
+
+NOW_MS = 1_000 * burn.HOUR_MS
+
+
+def make_job(**changes):
+    return burn.EndedJob(
+        job_id="j-1",
+        account="shop",
+        urgency="normal",
+        state="succeeded",
+        accepted_ms=NOW_MS - 10_000,
+        started_ms=NOW_MS - 9_000,
+        ended_ms=NOW_MS - 1_000,
+        deadline_ms=None,
+        reason="",
+    )._replace(**changes)
+
+
+def compute(jobs):
+    burns = burn.compute_burn(jobs, lambda account: "gold", NOW_MS)
+    return {one.objective: one for one in burns}
+
+
+@pytest.mark.parametrize(
+    ("objective", "changes", "good"),
+    [
+        ("completed_by_deadline", {}, None),
+        ("completed_by_deadline", {"deadline_ms": NOW_MS}, True),
+        ("completed_by_deadline", {"deadline_ms": NOW_MS - 2_000}, False),
+        (
+            "completed_by_deadline",
+            {"deadline_ms": NOW_MS, "state": "failed"},
+            False,
+        ),
+        ("urgent_started", {}, None),
+        ("urgent_started", {"urgency": "urgent"}, True),
+        (
+            "urgent_started",
+            {"urgency": "urgent", "started_ms": NOW_MS - 5_000},
+            False,
+        ),
+        (
+            "urgent_started",
+            {"urgency": "urgent", "started_ms": None, "state": "failed"},
+            False,
+        ),
+        ("answered_whole", {}, True),
+        ("answered_whole", {"state": "failed"}, False),
+        ("answered_whole", {"state": "cancelled"}, None),
+    ],
+)
+def test_jobs_are_judged_by_each_objective(objective, changes, good):
+    found = compute([make_job(**changes)]).get(objective)
+    if good is None:
+        assert found is None
+    else:
+        assert found.windows[0].bad == (0 if good else 1)
+
+
+def test_rate_is_the_bad_share_over_the_allowed_share():
+    jobs = [make_job() for _ in range(998)]
+    jobs += [make_job(state="failed", reason="worker lost")] * 2
+    found = compute(jobs)["answered_whole"]
+    assert found.windows[0].rate == pytest.approx(2.0)
+    assert found.budget_left == pytest.approx(-1.0)
+    assert found.causes == (burn.Cause("shop", "worker lost", 2),)
+
+
+def test_windows_count_only_their_own_jobs():
+    jobs = [
+        make_job(ended_ms=NOW_MS - hours * burn.HOUR_MS + 1, state="failed")
+        for hours in (1, 6, 72, 168, 169)
+    ]
+    found = compute(jobs)["answered_whole"]
+    assert [window.bad for window in found.windows] == [1, 2, 3]
+    assert found.causes[0].bad == 4
