--- a/benchmarks/owner_cost.py
+++ b/benchmarks/owner_cost.py
@@ -18,17 +18,16 @@
 import os
 import pathlib
 import statistics
-import subprocess
 import sys
 import tempfile
 import time
 from typing import NamedTuple
 
 import docopt
-import yaml
 
 from cyclamenshelf_daemon import httpclient
 from cyclamenshelf_standin import platform as platforms
+from cyclamenshelf_standin import processes
 
 _ACCELERATORS = 32
 _COLUMNS = (
@@ -110,10 +109,11 @@
         allowances=_ALLOWANCES,
     )
     with tempfile.TemporaryDirectory() as folder:
-        process, port = start_daemon(platform, pathlib.Path(folder))
+        daemon = processes.start_daemon(platform, pathlib.Path(folder), "h0")
+        process = daemon.process
         try:
             if tasks:
-                submit_jobs(port, workers, tasks)
+                submit_jobs(daemon.caller_url, workers, tasks)
                 wait_for_tasks(platform, workers * tasks)
             time.sleep(settle_s)
             before = take_sample(platform, process.pid)
@@ -136,41 +136,7 @@
     )
 
 
-def start_daemon(
-    platform: platforms.Platform, folder: pathlib.Path
-) -> tuple[subprocess.Popen, int]:
-    """Start a daemon and return its process and its callers' port."""
-    (folder / "peer.key").write_text("benchmark")
-    settings = {
-        "host_id": "h0",
-        "data_centre": "dc0",
-        "cell": "c0",
-        "listen_host": "127.0.0.1",
-        "caller_port": 18_400,
-        "operator_port": 18_401,
-        "peer_port": 18_402,
-        "caller_threads": 16,
-        "table_url": platform.table_url,
-        "objects_url": platform.objects_url,
-        "hosts_url": platform.hosts_url,
-        "peer_key_file": str(folder / "peer.key"),
-        "operator_token_sha256": platforms.DEMO_OPERATOR_SHA256,
-    }
-    path = folder / "settings.yaml"
-    path.write_text(yaml.safe_dump(settings))
-    process = subprocess.Popen(
-        [
-            sys.executable,
-            "-m",
-            "cyclamenshelf_daemon.main",
-            f"--settings={path}",
-        ],
-        stderr=subprocess.DEVNULL,
-    )
-    return process, settings["caller_port"]
-
-
-def submit_jobs(port: int, workers: int, tasks: int) -> None:
+def submit_jobs(url: str, workers: int, tasks: int) -> None:
     """Submit gangs of one part per task of a worker, one gang a worker."""
     pool = httpclient.make_pool()
     body = {
@@ -179,16 +145,16 @@
         "payload": {"run_ms": 10 * 3600 * 1000},
     }
     for index in range(workers):
-        submit_job(pool, port, f"job-{index}", body)
+        submit_job(pool, url, f"job-{index}", body)
 
 
-def submit_job(pool, port: int, key: str, body: dict) -> None:
+def submit_job(pool, url: str, key: str, body: dict) -> None:
     while True:
         try:
             result = httpclient.call(
                 pool,
                 "POST",
-                f"http://127.0.0.1:{port}/v1/jobs",
+                url + "/v1/jobs",
                 body=json.dumps(body).encode(),
                 headers={
                     "Authorization": f"Bearer {platforms.DEMO_TOKEN}",
