Add the peer socket and wire gossip and hints into the daemon

Cause: hints and gossip need a socket, and the daemon needs both. Ruled out: starting an owner whose takeover is older than an epoch that this process has already reported as known; a process paused between takeover and start would act under a lower epoch after it acknowledged a higher one. Ruled out: random peers with repetition. Shuffled turns bound the time between two reports to a peer, which the shares rely on. Change: one receive thread, one thread a peer, bounded queues, counters under /v1/status/peers. The incarnation replaces the random part of the holder name. has_left is unchanged: an acknowledgement may not be used before the hook waits for the threads of the worker links.

--- a/packages/daemon/src/cyclamenshelf_daemon/daemon.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/daemon.py
@@ -1,10 +1,13 @@
 """The composition root: wires the parts of a daemon together."""
 
+import collections
+import random
 import threading
 from typing import NamedTuple
-import uuid
 
 from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_core import model
+from cyclamenshelf_core import shares as rate_shares
 from cyclamenshelf_daemon import acceptance
 from cyclamenshelf_daemon import callerapi
 from cyclamenshelf_daemon import celllease
@@ -15,8 +18,12 @@
 from cyclamenshelf_daemon import httpclient
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import lookup
+from cyclamenshelf_daemon import membership as memberships
+from cyclamenshelf_daemon import messages
 from cyclamenshelf_daemon import objectclient
 from cyclamenshelf_daemon import operatorapi
+from cyclamenshelf_daemon import peers as peer_messages
+from cyclamenshelf_daemon import peerstatus
 from cyclamenshelf_daemon import routing
 from cyclamenshelf_daemon import settings as settings_files
 from cyclamenshelf_daemon import tableclient
@@ -27,10 +34,15 @@
 
 
 class CellRole:
-    """The owner of the cell, while this process is that owner."""
+    """The owner of the cell, while this process is that owner.
+
+    Attributes:
+        newest_epoch: Newest epoch of the cell that a peer has reported.
+    """
 
     def __init__(self) -> None:
         self.lock = threading.Lock()
+        self.newest_epoch = 0
         self.owner: cellowner.CellOwner | None = None
 
 
@@ -39,6 +51,7 @@
 
     caller_server: webserver.Server
     operator_server: webserver.Server
+    peers: peer_messages.Peers
     role: CellRole
     lease_thread: threading.Thread
     lease_stopping: threading.Event
@@ -64,6 +77,45 @@
     hostlist.start_polling(host_list)
     configuration.start_polling(lists)
 
+    shares = rate_shares.Shares(clock.now_ms())
+    membership = memberships.Membership(
+        settings.host_id,
+        memberships.make_incarnation(clock),
+        [settings.cell],
+        memberships.Hooks(
+            on_newer_epoch=lambda cell, epoch: _step_down(role, epoch),
+            on_version=lambda version: configuration.note_version(
+                lists, version
+            ),
+            on_demand=lambda host, demand, now_ms: rate_shares.note_report(
+                shares, host, demand, now_ms
+            ),
+        ),
+        clock,
+        random.Random(),
+    )
+    peers = peer_messages.start_peers(
+        peer_messages.PeerContext(
+            secrets.peer_key,
+            membership,
+            get_entries=lambda: host_list.hosts.entries,
+            get_local=lambda: memberships.Local(
+                draining.is_set(),
+                lists.lists.version,
+                rate_shares.close_round(shares, clock.now_ms()),
+                _count_queued(role),
+            ),
+            on_hint=lambda kind, job_id: _take_hint(role, kind),
+            on_present=lambda present: rate_shares.update_hosts(
+                shares, present
+            ),
+            clock=clock,
+            chooser=random.Random(),
+        ),
+        settings.listen_host,
+        settings.peer_port,
+    )
+
     owner_context = cellowner.OwnerContext(
         table,
         committer,
@@ -75,17 +127,19 @@
         has_left=lambda holder: (
             holder.partition("/")[0] not in host_list.hosts.entries
         ),
-        on_ended=lambda job_id: None,
+        on_ended=lambda job_id: peer_messages.send_hint(
+            peers, messages.HintKind.ENDED, settings.cell, job_id
+        ),
     )
-    holder = f"{settings.host_id}/{uuid.uuid4().hex}"
+    holder = memberships.make_holder(settings.host_id, membership.incarnation)
     lease = celllease.CellLease(
         table,
         settings.cell,
         holder,
-        on_acquired=lambda tenure: _replace_owner(
-            role, cellowner.start_owner(owner_context, tenure)
+        on_acquired=lambda tenure: _start_owner(
+            role, membership, owner_context, tenure
         ),
-        on_superseded=lambda: _replace_owner(role, None),
+        on_superseded=lambda: _stop_owner(role),
         stopping=lease_stopping,
     )
     caller_context = callerapi.CallerContext(
@@ -97,7 +151,9 @@
             host_list,
             clock,
             get_lists=lambda: lists.lists,
-            on_changed=lambda kind, job_id: _notice_job(role),
+            on_changed=lambda kind, job_id: _announce_job(
+                role, peers, settings.cell, kind, job_id
+            ),
         ),
         lookup.LookupContext(settings.cell, table, objects, clock),
         routing.Router(pool, host_list, clock),
@@ -116,9 +172,12 @@
         webserver.start_server(
             settings.listen_host,
             settings.operator_port,
-            operatorapi.make_handler(operator_context),
+            peerstatus.add_status(
+                operatorapi.make_handler(operator_context), peers
+            ),
             threads=_OPERATOR_THREADS,
         ),
+        peers,
         role,
         celllease.start_holding(lease),
         lease_stopping,
@@ -141,14 +200,77 @@
     running.lease_stopping.set()
     running.lease_thread.join()
     running.operator_server.stop()
+    peer_messages.stop_peers(running.peers)
     logs.log_event("drain_ended")
 
 
-def _replace_owner(role: CellRole, owner: cellowner.CellOwner | None) -> None:
+def _start_owner(
+    role: CellRole,
+    membership: memberships.Membership,
+    context: cellowner.OwnerContext,
+    tenure: celllease.Tenure,
+) -> None:
+    """Start to own the cell, unless a peer has reported a newer epoch.
+
+    This process may have reported that epoch as known, and so must not act
+    under a lower one. The next renewal ends the tenure.
+    """
+    with role.lock:
+        if role.newest_epoch > tenure.epoch:
+            return
+        if role.owner is not None:
+            cellowner.stop_owner(role.owner)
+        role.owner = cellowner.start_owner(context, tenure)
+    memberships.note_own_epoch(membership, tenure.cell, tenure.epoch)
+
+
+def _step_down(role: CellRole, epoch: int) -> None:
+    """Stop an owner of a lower epoch, and start none."""
+    with role.lock:
+        role.newest_epoch = max(role.newest_epoch, epoch)
+        if role.owner is not None and role.owner.tenure.epoch < epoch:
+            cellowner.stop_owner(role.owner)
+            role.owner = None
+
+
+def _stop_owner(role: CellRole) -> None:
     with role.lock:
         if role.owner is not None:
             cellowner.stop_owner(role.owner)
-        role.owner = owner
+        role.owner = None
+
+
+def _announce_job(
+    role: CellRole,
+    peers: peer_messages.Peers,
+    cell: str,
+    kind: str,
+    job_id: str,
+) -> None:
+    """Let the cell owner look for a job, here or on another host."""
+    if role.owner is not None:
+        _notice_job(role)
+    else:
+        peer_messages.send_hint(
+            peers, messages.HintKind[kind.upper()], cell, job_id
+        )
+
+
+def _take_hint(role: CellRole, kind: messages.HintKind) -> None:
+    if kind is not messages.HintKind.ENDED:
+        _notice_job(role)
+
+
+def _count_queued(role: CellRole) -> dict[str, int]:
+    """Return the queued jobs by account, while this process is the owner."""
+    owner = role.owner
+    if owner is None:
+        return {}
+    return collections.Counter(
+        job.account
+        for job in list(owner.jobs.values())
+        if job.state is model.JobState.QUEUED
+    )
 
 
 def _notice_job(role: CellRole) -> None:
