Check the operators' lists strictly and against the fleet

Cause: the lists were read without a schema: unknown and duplicate keys passed, wrong types surfaced as KeyError texts, and only the first fault was named. Ruled out: a schema library, as none in the constraints keeps the line of a field; yaml.safe_load, as it drops lines and merges duplicate keys silently. Change: core/documents.py reads YAML into items with path and line, refuses aliases, deep nesting and duplicate keys, and collects every problem; core/lists.py states the schema; errors.Problem is the record of one problem. check_fleet names the accounts and the racks or data centres whose guarantees cannot all be assigned. Conclusion: an edit is refused with all its problems at once.

--- a/packages/core/src/cyclamenshelf_core/errors.py
+++ b/packages/core/src/cyclamenshelf_core/errors.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from typing import NamedTuple
 
 
 class Run(enum.StrEnum):
@@ -203,25 +204,54 @@
     status = 413
 
 
+class Problem(NamedTuple):
+    """One thing that is wrong in a document.
+
+    Attributes:
+        source: Name of the list, or path of the file.
+        line: Line, from 1.
+        path: Path of the field; empty for the document as a whole.
+        expected: What the field is to be.
+        got: What came; never a secret.
+    """
+
+    source: str
+    line: int
+    path: str
+    expected: str
+    got: str
+
+    def __str__(self) -> str:
+        field = f"{self.path}: " if self.path else ""
+        return (
+            f"{self.source}:{self.line}: {field}"
+            f"expected {self.expected}, got {self.got}"
+        )
+
+
 class InvalidListsError(CyclamenshelfError):
     """The operators' lists do not parse or break a rule.
 
     Attributes:
-        problems: One text per problem, with file, line and field.
+        problems: Every problem of both lists.
     """
 
     code = "invalid_lists"
 
-    def __init__(self, problems: list[str]) -> None:
-        super().__init__("; ".join(problems))
+    def __init__(self, problems: list[Problem]) -> None:
+        super().__init__("; ".join(map(str, problems)))
         self.problems = problems
 
 
 class InvalidSettingsError(CyclamenshelfError):
-    """The settings file breaks its schema."""
+    """The settings file breaks its schema.
+
+    Attributes:
+        problems: Every problem of the file.
+    """
 
     code = "invalid_settings"
 
-    def __init__(self, problems: list[str]) -> None:
-        super().__init__("; ".join(problems))
+    def __init__(self, problems: list[Problem]) -> None:
+        super().__init__("; ".join(map(str, problems)))
         self.problems = problems
--- a/packages/core/src/cyclamenshelf_core/lists.py
+++ b/packages/core/src/cyclamenshelf_core/lists.py
@@ -1,12 +1,63 @@
-"""Parsing of the operators' two lists."""
+"""Parsing and checking of the operators' two lists."""
 
-from typing import Any
-
-import yaml
+import re
+from typing import NamedTuple
 
+from cyclamenshelf_core import documents
 from cyclamenshelf_core import errors
+from cyclamenshelf_core import guarantees as guarantee_assignment
 from cyclamenshelf_core import model
 
+PLANS = "plans"
+ALLOWANCES = "allowances"
+# Two lists of this size fit into one request body; 57 teams need about 20 KB.
+MAX_LIST_BYTES = 256 * 1024
+_MAX_NUMBER = 1_000_000
+_MAX_GUARANTEES = 64
+_MAX_GUARANTEE_WORKERS = 1_024
+_MAX_ACCELERATORS_PER_WORKER = 64
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+_SHA256 = re.compile(r"[0-9a-f]{64}")
+_PLAN_NUMBERS = (
+    "weight",
+    "max_queued_jobs",
+    "max_accelerators",
+    "request_rate_per_s",
+)
+_WITHIN = (str(model.Within.RACK), str(model.Within.DATA_CENTRE))
+
+
+class FleetConflict(NamedTuple):
+    """A guarantee that finds no workers beside all the others.
+
+    Attributes:
+        account: The account whose guarantee is not assigned.
+        index: Place of the guarantee in the plan's list, from 0.
+        groups: Racks or data centres that could hold it if it were alone.
+        competitors: Accounts whose guarantees are assigned in these groups.
+    """
+
+    account: str
+    index: int
+    guarantee: model.Guarantee
+    groups: tuple[str, ...]
+    competitors: tuple[str, ...]
+
+    def __str__(self) -> str:
+        shape = (
+            f"{self.guarantee.workers} workers x "
+            f"{self.guarantee.accelerators} accelerators"
+        )
+        kind = self.guarantee.within.replace("_", " ")
+        text = f"account {self.account}: guarantee {self.index} ({shape} "
+        text += f"in one {kind}) cannot be assigned: "
+        if not self.groups:
+            return text + f"no {kind} of the fleet is large enough"
+        text += f"{kind} {', '.join(self.groups)}"
+        if self.competitors:
+            text += f" taken by accounts {', '.join(self.competitors)}"
+        return text
+
 
 def parse_lists(
     plans_text: str, allowances_text: str, version: int = 0
@@ -19,42 +70,213 @@
         version: Version of the stored configuration.
 
     Raises:
-        errors.InvalidListsError: Either list does not parse or breaks a rule.
+        errors.InvalidListsError: With every problem of both lists.
     """
-    try:
-        allowances = yaml.safe_load(allowances_text) or {}
-        accounts = yaml.safe_load(plans_text) or {}
-        plans = {
-            name: _parse_plan(name, fields)
-            for name, fields in allowances["plans"].items()
-        }
-        return model.Lists(
-            version=version,
-            plans=plans,
-            accounts={
-                name: model.Account(
-                    name, fields["plan"], tuple(fields["token_sha256"])
-                )
-                for name, fields in accounts["accounts"].items()
-            },
+    problems: documents.Problems = []
+    allowances = documents.load_document(
+        ALLOWANCES, allowances_text, MAX_LIST_BYTES, problems
+    )
+    accounts = documents.load_document(
+        PLANS, plans_text, MAX_LIST_BYTES, problems
+    )
+    plans = _parse_plans(allowances, problems)
+    parsed = _parse_accounts(accounts, plans, allowances is not None, problems)
+    if problems:
+        raise errors.InvalidListsError(problems)
+    return model.Lists(version=version, plans=plans, accounts=parsed)
+
+
+def check_fleet(
+    lists: model.Lists, workers: dict[str, model.Worker]
+) -> list[FleetConflict]:
+    """Return the guarantees that cannot be assigned beside all the others.
+
+    Args:
+        lists: The checked lists.
+        workers: The listed fleet, by worker id.
+    """
+    assignment = guarantee_assignment.assign_guarantees(lists, workers)
+    return [
+        _describe_conflict(lists, workers, assignment, key)
+        for key in assignment.unplaced
+    ]
+
+
+def _describe_conflict(
+    lists: model.Lists,
+    workers: dict[str, model.Worker],
+    assignment: guarantee_assignment.Assignment,
+    key: guarantee_assignment.GuaranteeKey,
+) -> FleetConflict:
+    guarantee = model.get_plan(lists, key.account).guarantees[key.index]
+    sizes: dict[tuple[str, ...], int] = {}
+    for worker in workers.values():
+        if worker.accelerators >= guarantee.accelerators:
+            group = guarantee_assignment.get_group(worker, guarantee.within)
+            sizes[group] = sizes.get(group, 0) + 1
+    groups = {
+        group for group, size in sizes.items() if size >= guarantee.workers
+    }
+    competitors = {
+        other.account
+        for other, chosen in assignment.assigned.items()
+        for worker_id in chosen
+        if guarantee_assignment.get_group(workers[worker_id], guarantee.within)
+        in groups
+    }
+    return FleetConflict(
+        key.account,
+        key.index,
+        guarantee,
+        tuple(sorted("/".join(group) for group in groups)),
+        tuple(sorted(competitors)),
+    )
+
+
+def _parse_plans(
+    root: documents.Item | None, problems: documents.Problems
+) -> dict[str, model.Plan]:
+    fields = documents.read_fields(root, ("plans",), (), problems)
+    plans = documents.read_mapping(fields.get("plans"), problems)
+    return {
+        name: _parse_plan(_check_name(name, item, problems), item, problems)
+        for name, item in plans.items()
+    }
+
+
+def _check_name(
+    name: str, item: documents.Item, problems: documents.Problems
+) -> str:
+    if not _NAME.fullmatch(name):
+        expected = "a name of 1 to 63 letters, digits, '.', '_' or '-'"
+        documents.add_problem(problems, item, expected, documents.show(name))
+    return name
+
+
+def _parse_plan(
+    name: str, item: documents.Item, problems: documents.Problems
+) -> model.Plan:
+    fields = documents.read_fields(
+        item, _PLAN_NUMBERS, ("guarantees",), problems
+    )
+    numbers = {
+        number: documents.read_int(fields.get(number), 1, _MAX_NUMBER, problems)
+        for number in _PLAN_NUMBERS
+    }
+    listed = fields.get("guarantees")
+    entries = documents.read_list(listed, problems)
+    if listed is not None and len(entries) > _MAX_GUARANTEES:
+        documents.add_problem(
+            problems,
+            listed,
+            f"at most {_MAX_GUARANTEES} guarantees",
+            str(len(entries)),
         )
-    except (yaml.YAMLError, KeyError, TypeError, AttributeError) as error:
-        raise errors.InvalidListsError([str(error)]) from error
-
-
-def _parse_plan(name: str, fields: dict[str, Any]) -> model.Plan:
-    return model.Plan(
-        name=name,
-        weight=fields["weight"],
-        max_queued_jobs=fields["max_queued_jobs"],
-        max_accelerators=fields["max_accelerators"],
-        request_rate_per_s=fields["request_rate_per_s"],
-        guarantees=tuple(
-            model.Guarantee(
-                guarantee["workers"],
-                guarantee["accelerators"],
-                model.Within(guarantee["within"]),
-            )
-            for guarantee in fields.get("guarantees", [])
+    before = len(problems)
+    guarantees = tuple(_parse_guarantee(entry, problems) for entry in entries)
+    total = sum(one.workers * one.accelerators for one in guarantees)
+    if (
+        listed is not None
+        and len(problems) == before
+        and total > numbers["max_accelerators"]
+    ):
+        # A guarantee over the plan's limit could never be used.
+        documents.add_problem(
+            problems,
+            listed,
+            "no more accelerators than max_accelerators "
+            f"({numbers['max_accelerators']})",
+            f"{total} in total",
+        )
+    return model.Plan(name=name, guarantees=guarantees, **numbers)
+
+
+def _parse_guarantee(
+    item: documents.Item, problems: documents.Problems
+) -> model.Guarantee:
+    fields = documents.read_fields(
+        item, ("workers", "accelerators", "within"), (), problems
+    )
+    return model.Guarantee(
+        documents.read_int(
+            fields.get("workers"), 1, _MAX_GUARANTEE_WORKERS, problems
+        ),
+        documents.read_int(
+            fields.get("accelerators"),
+            1,
+            _MAX_ACCELERATORS_PER_WORKER,
+            problems,
+        ),
+        model.Within(
+            documents.read_choice(fields.get("within"), _WITHIN, problems)
         ),
     )
+
+
+def _parse_accounts(
+    root: documents.Item | None,
+    plans: dict[str, model.Plan],
+    plans_known: bool,
+    problems: documents.Problems,
+) -> dict[str, model.Account]:
+    fields = documents.read_fields(root, ("accounts",), (), problems)
+    items = documents.read_mapping(fields.get("accounts"), problems)
+    accounts: dict[str, model.Account] = {}
+    owners: dict[str, str] = {}
+    for name, item in items.items():
+        _check_name(name, item, problems)
+        account = documents.read_fields(
+            item, ("plan", "token_sha256"), (), problems
+        )
+        plan = account.get("plan")
+        if plan is not None and plans_known:
+            _check_plan_listed(plan, plans, problems)
+        hashes = _parse_hashes(
+            account.get("token_sha256"), name, owners, problems
+        )
+        accounts[name] = model.Account(
+            name, plan.value if plan is not None else "", hashes
+        )
+    return accounts
+
+
+def _check_plan_listed(
+    item: documents.Item,
+    plans: dict[str, model.Plan],
+    problems: documents.Problems,
+) -> None:
+    if not isinstance(item.value, str) or item.value not in plans:
+        names = ", ".join(sorted(plans)[:10]) or "none is listed"
+        documents.add_problem(
+            problems, item, f"a plan of the allowances ({names})"
+        )
+
+
+def _parse_hashes(
+    item: documents.Item | None,
+    account: str,
+    owners: dict[str, str],
+    problems: documents.Problems,
+) -> tuple[str, ...]:
+    hashes = []
+    for entry in documents.read_list(item, problems):
+        value = entry.value
+        if not isinstance(value, str) or not _SHA256.fullmatch(value):
+            # The value may be a token given by mistake, so it isn't shown.
+            documents.add_problem(
+                problems,
+                entry,
+                "64 lower-case hex digits (SHA-256 of a token)",
+                f"a {type(value).__name__} that is not shown",
+            )
+        elif value in owners:
+            documents.add_problem(
+                problems,
+                entry,
+                "a token hash that no account has twice",
+                f"one that account {owners[value]} has",
+            )
+        else:
+            owners[value] = account
+            hashes.append(value)
+    return tuple(hashes)
