Add the HTTP interface to operators

Cause: operators could only read a host's status, without a credential. Ruled out: a redirect for questions only the cell owner can answer, as clients would resend the credential without a choice; a 421 names the owner instead. Computing who holds guarantees in the owner only, as every host has the lists and the job rows. Change: operatorapi checks the bearer credential in constant time and maps refusals; operatorconfig, operatorviews, operatorjobs and operatorcommands hold the routes; quarantinerows stores quarantine/<cell>/<worker>; guaranteereport and editimpact in core tell what guarantees are used for and what an edit takes from active jobs. Reads that need the table answer null numbers in an outage, and the lists in force come from memory. A drain sets the event that a signal sets. Conclusion: the interface is complete but for members, which the gossip will give, and for quarantines, which the cell owner does not read yet.

--- a/packages/core/src/cyclamenshelf_core/errors.py
+++ b/packages/core/src/cyclamenshelf_core/errors.py
@@ -258,8 +258,8 @@
         self.diff = diff
 
 
-class ConfigurationOutcomeUnknownError(RequestRefusedError):
-    """The lists may or may not be written."""
+class CommandOutcomeUnknownError(RequestRefusedError):
+    """A command of an operator may or may not be applied."""
 
     code = "outcome_unknown"
     status = 503
@@ -272,6 +272,29 @@
     status = 503
 
 
+class NotOwnerError(RequestRefusedError):
+    """Only the cell owner knows the answer, and this host is not it.
+
+    Attributes:
+        owner_host: Id of the host that owns the cell, or None.
+        operator_url: Its address for operators, or None.
+    """
+
+    code = "not_owner"
+    status = 421
+
+    def __init__(
+        self, owner_host: str | None, operator_url: str | None
+    ) -> None:
+        super().__init__(
+            f"host {owner_host} owns the cell"
+            if owner_host
+            else "no host owns the cell now"
+        )
+        self.owner_host = owner_host
+        self.operator_url = operator_url
+
+
 class Problem(NamedTuple):
     """One thing that is wrong in a document.
 
--- a/packages/daemon/src/cyclamenshelf_daemon/configurationedit.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/configurationedit.py
@@ -106,7 +106,7 @@
         errors.ListsRefusedError: The lists are wrong or do not fit the fleet.
         errors.ConfigurationConflictError: Another version was written first.
         errors.StoreDownError: The store does not answer; nothing was written.
-        errors.ConfigurationOutcomeUnknownError: The write may be applied.
+        errors.CommandOutcomeUnknownError: The write may be applied.
     """
     checked = check_edit(edit.plans, edit.allowances, workers)
     if checked.problems:
@@ -224,7 +224,7 @@
     if isinstance(cause, errors.WriteConflictError):
         # Nothing was written, but what was written instead is not known.
         raise _make_store_down(cause) from cause
-    raise errors.ConfigurationOutcomeUnknownError(
+    raise errors.CommandOutcomeUnknownError(
         f"version {edit.base_version + 1} may or may not be written; "
         "ask the history, or hand in the same edit again",
         run=errors.Run.UNKNOWN,
--- a/packages/daemon/src/cyclamenshelf_daemon/daemon.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/daemon.py
@@ -50,8 +50,17 @@
     settings: settings_files.Settings,
     secrets: settings_files.Secrets,
     clock: clocks.Clock,
+    stopping: threading.Event | None = None,
 ) -> Daemon:
-    """Start all parts of a daemon."""
+    """Start all parts of a daemon.
+
+    Args:
+        settings: Checked settings.
+        secrets: Secrets that the settings name.
+        clock: Clock of the process.
+        stopping: Set when an operator asks the process to drain and exit.
+    """
+    stopping = stopping or threading.Event()
     pool = httpclient.make_pool()
     table = tableclient.TableClient(pool, settings.table_url, clock)
     objects = objectclient.ObjectClient(pool, settings.objects_url)
@@ -88,23 +97,36 @@
         on_superseded=lambda: _replace_owner(role, None),
         stopping=lease_stopping,
     )
+    accepting = acceptance.AcceptanceContext(
+        settings.cell,
+        table,
+        committer,
+        objects,
+        host_list,
+        clock,
+        get_lists=lambda: lists.lists,
+        on_changed=lambda kind, job_id: _notice_job(role),
+    )
     caller_context = callerapi.CallerContext(
-        acceptance.AcceptanceContext(
-            settings.cell,
-            table,
-            committer,
-            objects,
-            host_list,
-            clock,
-            get_lists=lambda: lists.lists,
-            on_changed=lambda kind, job_id: _notice_job(role),
-        ),
+        accepting,
         lookup.LookupContext(settings.cell, table, objects, clock),
         routing.Router(pool, host_list, clock),
         get_lists=lambda: lists.lists,
     )
     operator_context = operatorapi.OperatorContext(
-        settings.host_id, lists, host_list, draining, lambda: role.owner
+        settings.host_id,
+        settings.cell,
+        settings.operator_port,
+        settings.operator_token_sha256,
+        lists,
+        host_list,
+        table,
+        clock,
+        draining,
+        get_owner=lambda: role.owner,
+        get_members=lambda: None,
+        cancel_job=lambda job: acceptance.cancel_job(accepting, job),
+        request_drain=stopping.set,
     )
     running = Daemon(
         webserver.start_server(
--- a/packages/daemon/src/cyclamenshelf_daemon/main.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/main.py
@@ -41,7 +41,9 @@
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopping.set())
-    running = daemon.start_daemon(settings, secrets, clocks.make_system_clock())
+    running = daemon.start_daemon(
+        settings, secrets, clocks.make_system_clock(), stopping
+    )
     stopping.wait()
     daemon.stop_daemon(running)
     return 0
--- a/packages/daemon/src/cyclamenshelf_daemon/operatorapi.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/operatorapi.py
@@ -1,57 +1,166 @@
 """The HTTP interface to operators and health checks."""
 
-from collections.abc import Callable
-import threading
-from typing import NamedTuple
+import hashlib
+import hmac
+from typing import Any
 
-from cyclamenshelf_daemon import cellowner
+from cyclamenshelf_core import errors
 from cyclamenshelf_daemon import configuration
-from cyclamenshelf_daemon import hostlist
+from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon import operatorcommands
+from cyclamenshelf_daemon import operatorconfig
+from cyclamenshelf_daemon import operatorcontext
+from cyclamenshelf_daemon import operatorjobs
+from cyclamenshelf_daemon import operatorviews
 from cyclamenshelf_daemon import webserver
 
+OperatorContext = operatorcontext.OperatorContext
 
-class OperatorContext(NamedTuple):
-    """What the interface to operators is built on.
 
-    Attributes:
-        draining: Set while the host is about to stop.
-        get_owner: Returns the cell owner if this process is it.
+def make_handler(
+    context: operatorcontext.OperatorContext,
+) -> webserver.Handler:
+    """Return the HTTP handler for operators.
+
+    Health, readiness and metrics need no credential, as the platform's
+    balancer and collectors have none.
     """
 
-    host_id: str
-    configuration: configuration.Configuration
-    host_list: hostlist.HostList
-    draining: threading.Event
-    get_owner: Callable[[], cellowner.CellOwner | None]
-
-
-def make_handler(context: OperatorContext) -> webserver.Handler:
-    """Return the HTTP handler for operators."""
-
-    def check_health(request: webserver.Request) -> webserver.Response:
-        return webserver.make_json(200, {})
-
-    def check_readiness(request: webserver.Request) -> webserver.Response:
-        status = 503 if context.draining.is_set() else 200
-        return webserver.make_json(status, {})
-
-    def show_status(request: webserver.Request) -> webserver.Response:
-        owner = context.get_owner()
-        return webserver.make_json(
-            200,
-            {
-                "host": context.host_id,
-                "configuration_version": context.configuration.lists.version,
-                "owner_epoch": owner.tenure.epoch if owner else None,
-                "workers_heard": len(owner.heard) if owner else None,
-                "active_jobs": len(owner.jobs) if owner else None,
-            },
-        )
+    def open_route(
+        path: str, handle: operatorcontext.Handle
+    ) -> webserver.Route:
+        return ("GET", path, lambda request: handle(context, request))
 
+    guarded = [
+        (method, path, _guard(context, handle))
+        for method, path, handle in (
+            *operatorconfig.ROUTES,
+            *operatorviews.ROUTES,
+            *operatorjobs.ROUTES,
+            *operatorcommands.ROUTES,
+        )
+    ]
     return webserver.make_router(
         [
-            ("GET", "/healthz", check_health),
-            ("GET", "/readyz", check_readiness),
-            ("GET", "/v1/status", show_status),
+            open_route("/healthz", _check_health),
+            open_route("/readyz", _check_readiness),
+            open_route("/metrics", _show_metrics),
+            *guarded,
         ]
     )
+
+
+def make_refusal(refusal: errors.RequestRefusedError) -> webserver.Response:
+    """Return the HTTP answer for a refused request of an operator."""
+    headers: tuple[tuple[str, str], ...] = ()
+    if refusal.retry_after_ms is not None:
+        seconds = -(-refusal.retry_after_ms // 1000)
+        headers = (("Retry-After", str(seconds)),)
+    return webserver.make_json(
+        refusal.status,
+        {
+            "code": refusal.code,
+            "message": str(refusal),
+            "field": refusal.field,
+            "run": refusal.run,
+            "job_id": refusal.job_id,
+            "retry_after_ms": refusal.retry_after_ms,
+        }
+        | _list_details(refusal),
+        headers,
+    )
+
+
+def _list_details(refusal: errors.RequestRefusedError) -> dict[str, Any]:
+    match refusal:
+        case errors.ListsRefusedError():
+            return {
+                "problems": refusal.problems,
+                "conflicts": refusal.conflicts,
+            }
+        case errors.ConfigurationConflictError():
+            return {
+                "base_version": refusal.base_version,
+                "current_version": refusal.current_version,
+                "author": refusal.author,
+                "time_ms": refusal.time_ms,
+                "diff": refusal.diff,
+            }
+        case errors.NotOwnerError():
+            return {
+                "owner_host": refusal.owner_host,
+                "operator_url": refusal.operator_url,
+            }
+    return {}
+
+
+def _guard(
+    context: operatorcontext.OperatorContext, handle: operatorcontext.Handle
+) -> webserver.Handler:
+    """Add the check of the credential and the answers for refusals."""
+
+    def handle_request(request: webserver.Request) -> webserver.Response:
+        try:
+            _check_credential(context, request)
+            return handle(context, request)
+        except errors.RequestRefusedError as refusal:
+            logs.log_event(
+                "operator_request_refused",
+                method=request.method,
+                path=request.path,
+                code=refusal.code,
+            )
+            return make_refusal(refusal)
+
+    return handle_request
+
+
+def _check_credential(
+    context: operatorcontext.OperatorContext, request: webserver.Request
+) -> None:
+    """Raise unless the bearer token is the operators'.
+
+    Hashing first makes both texts equally long, so that the comparison takes
+    the same time for every token.
+    """
+    scheme, _, token = request.headers.get("authorization", "").partition(" ")
+    digest = hashlib.sha256(token.strip().encode()).hexdigest()
+    matches = hmac.compare_digest(digest, context.token_sha256)
+    if scheme.lower() != "bearer" or not matches:
+        raise errors.UnauthenticatedError(
+            "the credential is not the operators'"
+        )
+
+
+def _check_health(
+    context: operatorcontext.OperatorContext, request: webserver.Request
+) -> webserver.Response:
+    return webserver.make_json(200, {})
+
+
+def _check_readiness(
+    context: operatorcontext.OperatorContext, request: webserver.Request
+) -> webserver.Response:
+    return webserver.make_json(503 if context.draining.is_set() else 200, {})
+
+
+def _show_metrics(
+    context: operatorcontext.OperatorContext, request: webserver.Request
+) -> webserver.Response:
+    held = context.configuration
+    owner = context.get_owner()
+    values = {
+        "configuration_version": held.lists.version,
+        "configuration_confirmed": int(configuration.is_confirmed(held)),
+        "configuration_rejected": int(held.rejected is not None),
+        "draining": int(context.draining.is_set()),
+        "listed_workers": len(context.host_list.hosts.workers),
+        "owner_epoch": owner.tenure.epoch if owner else 0,
+    }
+    text = "".join(
+        f"# TYPE cyclamenshelf_{name} gauge\ncyclamenshelf_{name} {value}\n"
+        for name, value in values.items()
+    )
+    return webserver.Response(
+        200, text.encode(), (("Content-Type", "text/plain; version=0.0.4"),)
+    )
--- a/testing/daemon/test_configuration_machine.py
+++ b/testing/daemon/test_configuration_machine.py
@@ -65,7 +65,7 @@
             # True of this call only: an earlier one may be on its way.
             assert refusal.run == errors.Run.NOT_RUN
             assert before == self._count_versions(edit)
-        except errors.ConfigurationOutcomeUnknownError:
+        except errors.CommandOutcomeUnknownError:
             pass
         self.fake.script, self.fake.rest = [], "ok"
 
--- a/testing/daemon/test_configurationedit.py
+++ b/testing/daemon/test_configurationedit.py
@@ -113,7 +113,7 @@
 def test_write_that_may_arrive_later_is_unknown_and_safe_to_repeat(fake):
     write(fake, 0, 1)
     fake.script, fake.rest = ["ok", "held"], "down"
-    with pytest.raises(errors.ConfigurationOutcomeUnknownError) as caught:
+    with pytest.raises(errors.CommandOutcomeUnknownError) as caught:
         write(fake, 1, 2)
     assert caught.value.run == errors.Run.UNKNOWN
     fake.rest = "ok"
