Add the operators' command line

Cause: operators had only `status`, without a credential, retries or exit codes. Ruled out: click or argparse, as docopt-ng is the declared library; one lock or draft on the server for an edit, as the base version already finds conflicts; following any redirect, as it could send the credential elsewhere. Change: one module per command group; link.py tries the hosts in order, twice, and keeps whether a command may have been applied, so that exit code 6 is never hidden by a later refusal; files of `config get` are replaced with the base version last; drain goes to one named host, once. Writing the lists now also reads again when the first read is lost.

--- /dev/null
+++ b/packages/cli/src/cyclamenshelf_cli/jobs.py
@@ -0,0 +1,150 @@
+"""Commands about jobs of any client account."""
+
+from typing import Any
+import urllib.parse
+
+from cyclamenshelf_cli import exitcodes
+from cyclamenshelf_cli import link
+from cyclamenshelf_cli import options
+from cyclamenshelf_cli import output as outputs
+
+DOC = f"""\
+List, show, explain and cancel jobs of any client account.
+
+Usage:
+  cyclamenshelf jobs list [--account=NAME] [--state=STATE] [--limit=N]
+                          [--operator=URL]... [options]
+  cyclamenshelf jobs show <job> [--operator=URL]... [options]
+  cyclamenshelf jobs explain <job> [--operator=URL]... [options]
+  cyclamenshelf jobs cancel <job> [--author=NAME] [--operator=URL]... [options]
+  cyclamenshelf jobs --help
+
+list shows active jobs; show also finds ended ones. explain tells why a job
+waits; only the cell owner knows, so the command goes on to that host. cancel
+asks the cell owner; repeating it does no harm.
+
+Options:
+  --account=NAME          Only jobs of this account.
+  --state=STATE           Only jobs in this state, such as queued.
+  --limit=N               At most so many jobs, up to 1000.
+{options.AUTHOR}{options.COMMON}
+{exitcodes.TABLE}
+Examples:
+  cyclamenshelf jobs list --account=shop --state=queued
+  cyclamenshelf jobs show j-0123456789abcdef0123456789abcdef
+  cyclamenshelf jobs explain j-0123456789abcdef0123456789abcdef
+  cyclamenshelf jobs cancel j-0123456789abcdef0123456789abcdef --author=ann
+"""
+
+
+def run(argv: list[str], environment: options.Environment) -> int:
+    """Run one command and return its exit code."""
+    arguments = options.parse_arguments(DOC, argv, environment)
+    if arguments is None:
+        return exitcodes.DONE
+    session = options.make_session(arguments, environment)
+    for name, handle in _COMMANDS.items():
+        if arguments[name]:
+            return handle(session, arguments)
+    raise AssertionError("docopt accepts no other command")
+
+
+def _list(session: options.Session, arguments: dict[str, Any]) -> int:
+    query = {
+        name: arguments[f"--{name}"]
+        for name in ("account", "state")
+        if arguments[f"--{name}"] is not None
+    }
+    limit = options.read_number(arguments, "--limit")
+    if limit is not None:
+        query["limit"] = str(limit)
+    path = f"/v1/jobs?{urllib.parse.urlencode(query)}"
+    value = link.read(session.link, path).value
+    if session.output.json:
+        outputs.print_json(session.output, value)
+        return exitcodes.DONE
+    outputs.print_table(
+        session.output,
+        ("JOB", "ACCOUNT", "STATE", "URGENCY", "SHAPE", "ATTEMPT", "ACCEPTED"),
+        [
+            (
+                job["job_id"],
+                job["account"],
+                job["state"],
+                job["urgency"],
+                outputs.format_shape(job["shape"]),
+                job["attempt"],
+                outputs.format_time(job["accepted_ms"]),
+            )
+            for job in value["jobs"]
+        ],
+    )
+    hidden = value["total"] - len(value["jobs"])
+    if hidden:
+        outputs.print_line(session.output, f"{hidden} more")
+    return exitcodes.DONE
+
+
+def _show(session: options.Session, arguments: dict[str, Any]) -> int:
+    job = link.read(session.link, _make_path(arguments)).value
+    if session.output.json:
+        outputs.print_json(session.output, job)
+    else:
+        _print_job(session, job)
+    return exitcodes.DONE
+
+
+def _print_job(session: options.Session, job: dict[str, Any]) -> None:
+    fields: dict[str, Any] = {}
+    for name, value in job.items():
+        if name == "shape":
+            fields[name] = outputs.format_shape(value)
+        elif name == "placement":
+            fields[name] = [part["worker_id"] for part in value]
+        elif name.endswith("_ms") and name != "expected_run_ms":
+            fields[name.removesuffix("_ms")] = outputs.format_time(value)
+        else:
+            fields[name.replace("_", " ")] = value
+    outputs.print_fields(session.output, fields)
+
+
+def _explain(session: options.Session, arguments: dict[str, Any]) -> int:
+    path = _make_path(arguments) + "/explain"
+    value = link.read(session.link, path).value
+    if session.output.json:
+        outputs.print_json(session.output, value)
+        return exitcodes.DONE
+    outputs.print_line(session.output, f"{value['job_id']} is {value['state']}")
+    for reason in value["reasons"]:
+        outputs.print_line(session.output, f"- {reason}")
+    return exitcodes.DONE
+
+
+def _cancel(session: options.Session, arguments: dict[str, Any]) -> int:
+    author = options.read_author(arguments, session.environment)
+    path = _make_path(arguments) + "/cancel"
+    job = link.command(session.link, "POST", path, {"author": author}).value
+    if session.output.json:
+        outputs.print_json(session.output, job)
+    elif job["cancel_asked"]:
+        outputs.print_line(
+            session.output,
+            f"{job['job_id']}: the cell owner is asked to cancel",
+        )
+    else:
+        outputs.print_line(
+            session.output, f"{job['job_id']} has ended: {job['state']}"
+        )
+    return exitcodes.DONE
+
+
+def _make_path(arguments: dict[str, Any]) -> str:
+    return "/v1/jobs/" + urllib.parse.quote(arguments["<job>"], safe="")
+
+
+_COMMANDS = {
+    "list": _list,
+    "show": _show,
+    "explain": _explain,
+    "cancel": _cancel,
+}
--- a/packages/core/src/cyclamenshelf_core/errors.py
+++ b/packages/core/src/cyclamenshelf_core/errors.py
@@ -219,8 +219,8 @@
         self, problems: tuple[str, ...], conflicts: tuple[str, ...]
     ) -> None:
         super().__init__(
-            f"{len(problems)} problems in the lists, "
-            f"{len(conflicts)} guarantees that cannot be assigned"
+            f"problems in the lists: {len(problems)}, "
+            f"guarantees that cannot be assigned: {len(conflicts)}"
         )
         self.problems = problems
         self.conflicts = conflicts
--- a/packages/daemon/src/cyclamenshelf_daemon/configurationedit.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/configurationedit.py
@@ -11,7 +11,9 @@
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import tableclient
 
-# Within the time for which the command line waits for an answer (20 s).
+# Together, with calls of 2 s each, less than the 30 s for which the command
+# line waits for an answer.
+_READ_TIMEOUT_MS = 2_000
 _COMMIT_TIMEOUT_MS = 6_000
 _RESOLVE_TIMEOUT_MS = 6_000
 _RESOLVE_INTERVAL_MS = 250
@@ -111,10 +113,7 @@
     checked = check_edit(edit.plans, edit.allowances, workers)
     if checked.problems:
         raise errors.ListsRefusedError(tuple(map(str, checked.problems)), ())
-    try:
-        found = _read_found(table, edit)
-    except errors.StoreUnavailableError as error:
-        raise _make_store_down(error) from error
+    found = _read_before_write(table, clock, edit)
     written = _judge(found, edit)
     if written is not None:
         return written
@@ -232,6 +231,24 @@
     ) from cause
 
 
+def _read_before_write(
+    table: tableclient.TableClient, clock: clocks.Clock, edit: Edit
+) -> _Found:
+    """Read the rows, and again if the answer is lost.
+
+    Raises:
+        errors.StoreDownError: The store does not answer; nothing was written.
+    """
+    give_up_ms = clock.now_ms() + _READ_TIMEOUT_MS
+    while True:
+        try:
+            return _read_found(table, edit)
+        except errors.StoreUnavailableError as error:
+            if clock.now_ms() >= give_up_ms:
+                raise _make_store_down(error) from error
+        clock.sleep_ms(_RESOLVE_INTERVAL_MS)
+
+
 def _read_found(table: tableclient.TableClient, edit: Edit) -> _Found:
     """Read the rows that tell the outcome, in one call.
 
--- a/packages/daemon/src/cyclamenshelf_daemon/daemon.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/daemon.py
@@ -39,6 +39,7 @@
 
     caller_server: webserver.Server
     operator_server: webserver.Server
+    lists: configuration.Configuration
     role: CellRole
     lease_thread: threading.Thread
     lease_stopping: threading.Event
@@ -141,6 +142,7 @@
             operatorapi.make_handler(operator_context),
             threads=_OPERATOR_THREADS,
         ),
+        lists,
         role,
         celllease.start_holding(lease),
         lease_stopping,
--- a/packages/daemon/src/cyclamenshelf_daemon/operatorjobs.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/operatorjobs.py
@@ -206,7 +206,7 @@
         return errors.NotOwnerError(None, None)
     host_id = row.value.get("holder", "").partition("/")[0]
     entry = context.host_list.hosts.entries.get(host_id)
-    if entry is None:
+    if entry is None or not context.operator_port:
         return errors.NotOwnerError(host_id or None, None)
     address = entry.address.partition("://")[2] or entry.address
     name = address.rpartition(":")[0] or address
