Check the settings against a schema with every error at once

Cause: settings were checked by type only, without ranges, lines or defaults, and a value that came was shown even where it could be a secret. Ruled out: renaming fields to carry units, as other modules use the names; all fields with a time would have needed it, but there is none yet. Conclusion: a wrong file is refused before anything starts.

--- a/packages/daemon/src/cyclamenshelf_daemon/daemon.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/daemon.py
@@ -22,7 +22,6 @@
 from cyclamenshelf_daemon import tableclient
 from cyclamenshelf_daemon import webserver
 
-_OPERATOR_THREADS = 4
 _DRAIN_MS = 2_000
 
 
@@ -140,7 +139,7 @@
             settings.listen_host,
             settings.operator_port,
             operatorapi.make_handler(operator_context),
-            threads=_OPERATOR_THREADS,
+            threads=settings.operator_threads,
         ),
         lists,
         role,
--- a/packages/daemon/src/cyclamenshelf_daemon/main.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/main.py
@@ -33,11 +33,12 @@
         secrets = settings_files.read_secrets(settings)
     except errors.InvalidSettingsError as error:
         for problem in error.problems:
-            print(f"{arguments['--settings']}: {problem}", file=sys.stderr)
+            print(f"cyclamenshelfd: {problem}", file=sys.stderr)
         return 2
     if arguments["--check-settings"]:
+        print(f"{arguments['--settings']}: no problems")
         return 0
-    logs.set_up_logs(settings.host_id)
+    logs.set_up_logs(settings.host_id, settings.log_level)
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopping.set())
--- a/packages/daemon/src/cyclamenshelf_daemon/settings.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/settings.py
@@ -1,15 +1,44 @@
 """Settings of a daemon, from a YAML file."""
 
+from collections.abc import Callable
+import ipaddress
+import re
 from typing import Any
 from typing import NamedTuple
 
-import yaml
-
+from cyclamenshelf_core import documents
 from cyclamenshelf_core import errors
 
+_MAX_BYTES = 64 * 1024
+_MIN_KEY_BYTES = 16
+_MAX_KEY_BYTES = 4_096
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+# No user and password in an address, as addresses are logged.
+_URL = re.compile(r"https?://[^/@\s?#]+(/[^@\s?#]*)?")
+_SHA256 = re.compile(r"[0-9a-f]{64}")
+_LOG_LEVELS = ("INFO", "DEBUG", "WARNING", "ERROR")
+
 
 class Settings(NamedTuple):
-    """Checked settings; see `examples/` for a commented file."""
+    """Checked settings; see `examples/` for commented files.
+
+    Attributes:
+        host_id: Id of this entry host in the host list.
+        data_centre: Where this host stands.
+        cell: The cell whose lease this host tries to hold.
+        listen_host: IP address that all listeners use.
+        caller_port: TCP port for callers; 0 picks a free one.
+        operator_port: TCP port for operators, the same on all entry hosts.
+        peer_port: UDP port for other entry hosts.
+        caller_threads: Requests of callers served at the same time.
+        table_url: Address of the table service.
+        objects_url: Address of the object store.
+        hosts_url: Address of the host list.
+        peer_key_file: File with the key that entry hosts share.
+        operator_token_sha256: SHA-256 of the operators' token, in hex.
+        operator_threads: Requests of operators served at the same time.
+        log_level: Least severe level that is logged.
+    """
 
     host_id: str
     data_centre: str
@@ -24,6 +53,8 @@
     hosts_url: str
     peer_key_file: str
     operator_token_sha256: str
+    operator_threads: int = 4
+    log_level: str = "INFO"
 
 
 class Secrets(NamedTuple):
@@ -35,38 +66,48 @@
 
     peer_key: bytes
 
+    def __repr__(self) -> str:
+        return "Secrets(...)"
+
+
+_Reader = Callable[[documents.Item, documents.Problems], Any]
+
 
 def read_settings(path: str) -> Settings:
     """Return the settings of a file.
 
     Raises:
-        errors.InvalidSettingsError: The file is unreadable or invalid.
+        errors.InvalidSettingsError: With every problem of the file.
     """
     try:
         with open(path, encoding="utf-8") as file:
-            values = yaml.safe_load(file)
-    except (OSError, yaml.YAMLError) as error:
-        raise errors.InvalidSettingsError([str(error)]) from error
-    return check_settings(values)
+            text = file.read(_MAX_BYTES + 1)
+    except (OSError, UnicodeError) as error:
+        problem = errors.Problem(path, 1, "", "a text file", _explain(error))
+        raise errors.InvalidSettingsError([problem]) from error
+    return parse_settings(path, text)
+
 
+def parse_settings(source: str, text: str) -> Settings:
+    """Return the settings of a YAML text.
 
-def check_settings(values: Any) -> Settings:
-    """Return checked settings.
+    Args:
+        source: Name of the text in problems.
+        text: YAML.
 
     Raises:
-        errors.InvalidSettingsError: With every problem found.
+        errors.InvalidSettingsError: With every problem of the text.
     """
-    if not isinstance(values, dict):
-        raise errors.InvalidSettingsError(["settings: expected a mapping"])
-    types = Settings.__annotations__
-    problems = [f"{key}: unknown key" for key in values if key not in types]
-    for key, expected in types.items():
-        if key not in values:
-            problems.append(f"{key}: missing")
-        elif type(values[key]) is not expected:
-            problems.append(
-                f"{key}: expected {expected.__name__}, got {values[key]!r:.80}"
-            )
+    problems: documents.Problems = []
+    root = documents.load_document(source, text, _MAX_BYTES, problems)
+    defaults = Settings._field_defaults
+    required = tuple(name for name in Settings._fields if name not in defaults)
+    items = documents.read_fields(root, required, tuple(defaults), problems)
+    values = {
+        name: _READERS[name](item, problems) for name, item in items.items()
+    }
+    if root is not None:
+        _check_ports(items, problems)
     if problems:
         raise errors.InvalidSettingsError(problems)
     return Settings(**values)
@@ -76,16 +117,91 @@
     """Return the secrets of the files that the settings name.
 
     Raises:
-        errors.InvalidSettingsError: A file is unreadable or empty.
+        errors.InvalidSettingsError: A file is unreadable, or no key.
     """
     path = settings.peer_key_file
     try:
         with open(path, "rb") as file:
-            peer_key = file.read().strip()
+            peer_key = file.read(_MAX_KEY_BYTES + 1).strip()
     except OSError as error:
-        raise errors.InvalidSettingsError(
-            [f"peer_key_file: {error}"]
-        ) from error
-    if not peer_key:
-        raise errors.InvalidSettingsError([f"peer_key_file: {path} is empty"])
-    return Secrets(peer_key)
+        got = _explain(error)
+    else:
+        if _MIN_KEY_BYTES <= len(peer_key) <= _MAX_KEY_BYTES:
+            return Secrets(peer_key)
+        got = f"{len(peer_key)} bytes"
+    expected = f"a file of {_MIN_KEY_BYTES} to {_MAX_KEY_BYTES} bytes"
+    problem = errors.Problem(path, 1, "peer_key_file", expected, got)
+    raise errors.InvalidSettingsError([problem])
+
+
+def _explain(error: Exception) -> str:
+    return getattr(error, "strerror", None) or "other bytes"
+
+
+def _check_ports(
+    items: dict[str, documents.Item], problems: documents.Problems
+) -> None:
+    caller, operator = items.get("caller_port"), items.get("operator_port")
+    if caller and operator and caller.value == operator.value != 0:
+        documents.add_problem(
+            problems, operator, "another port than caller_port"
+        )
+
+
+def _make_int_reader(minimum: int, maximum: int) -> _Reader:
+    return lambda item, problems: documents.read_int(
+        item, minimum, maximum, problems
+    )
+
+
+def _make_text_reader(
+    matches: Callable[[str], object], expected: str, hidden: bool = False
+) -> _Reader:
+    """Return a reader of texts; a hidden one never shows what came."""
+
+    def read(item: documents.Item, problems: documents.Problems) -> str:
+        if not isinstance(item.value, str) or not matches(item.value):
+            got = "a value that is not shown" if hidden else None
+            documents.add_problem(problems, item, expected, got)
+        return item.value
+
+    return read
+
+
+def _is_address(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+_read_name = _make_text_reader(
+    _NAME.fullmatch, "a name of 1 to 63 letters, digits, '.', '_' or '-'"
+)
+_read_url = _make_text_reader(
+    _URL.fullmatch, "http://HOST:PORT or https://HOST:PORT", hidden=True
+)
+_read_port = _make_int_reader(0, 65_535)
+_READERS: dict[str, _Reader] = {
+    "host_id": _read_name,
+    "data_centre": _read_name,
+    "cell": _read_name,
+    "listen_host": _make_text_reader(_is_address, "an IP address"),
+    "caller_port": _read_port,
+    "operator_port": _read_port,
+    "peer_port": _read_port,
+    # A third of the threads may wait for a job, so one needs three.
+    "caller_threads": _make_int_reader(3, 512),
+    "table_url": _read_url,
+    "objects_url": _read_url,
+    "hosts_url": _read_url,
+    "peer_key_file": _make_text_reader(bool, "a path"),
+    "operator_token_sha256": _make_text_reader(
+        _SHA256.fullmatch, "64 lower-case hex digits", hidden=True
+    ),
+    "operator_threads": _make_int_reader(1, 64),
+    "log_level": lambda item, problems: documents.read_choice(
+        item, _LOG_LEVELS, problems
+    ),
+}
