--- a/packages/core/src/cyclamenshelf_core/errors.py
+++ b/packages/core/src/cyclamenshelf_core/errors.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from typing import NamedTuple
 
 
 class Run(enum.StrEnum):
@@ -203,25 +204,145 @@
     status = 413
 
 
+class ListsRefusedError(RequestRefusedError):
+    """The operators' lists are wrong, or their guarantees do not fit.
+
+    Attributes:
+        problems: Texts of what is wrong in the lists.
+        conflicts: Texts of the guarantees that cannot be assigned.
+    """
+
+    code = "lists_refused"
+    status = 422
+
+    def __init__(
+        self, problems: tuple[str, ...], conflicts: tuple[str, ...]
+    ) -> None:
+        super().__init__(
+            f"problems in the lists: {len(problems)}, "
+            f"guarantees that cannot be assigned: {len(conflicts)}"
+        )
+        self.problems = problems
+        self.conflicts = conflicts
+
+
+class ConfigurationConflictError(RequestRefusedError):
+    """Another version was written after the one that the operator read.
+
+    Attributes:
+        author: Author of the current version.
+        time_ms: Unix time of the current version.
+        diff: Unified diff from the version read to the current one.
+    """
+
+    code = "configuration_conflict"
+    status = 409
+
+    def __init__(
+        self,
+        *,
+        base_version: int,
+        current_version: int,
+        author: str,
+        time_ms: int,
+        diff: str,
+    ) -> None:
+        super().__init__(
+            f"version {base_version} was read, but version {current_version} "
+            "is current"
+        )
+        self.base_version = base_version
+        self.current_version = current_version
+        self.author = author
+        self.time_ms = time_ms
+        self.diff = diff
+
+
+class CommandOutcomeUnknownError(RequestRefusedError):
+    """A command of an operator may or may not be applied."""
+
+    code = "outcome_unknown"
+    status = 503
+
+
+class FleetUnknownError(RequestRefusedError):
+    """The host list was never read, so the fleet is not known."""
+
+    code = "fleet_unknown"
+    status = 503
+
+
+class NotOwnerError(RequestRefusedError):
+    """Only the cell owner knows the answer, and this host is not it.
+
+    Attributes:
+        owner_host: Id of the host that owns the cell, or None.
+        operator_url: Its address for operators, or None.
+    """
+
+    code = "not_owner"
+    status = 421
+
+    def __init__(
+        self, owner_host: str | None, operator_url: str | None
+    ) -> None:
+        super().__init__(
+            f"host {owner_host} owns the cell"
+            if owner_host
+            else "no host owns the cell now"
+        )
+        self.owner_host = owner_host
+        self.operator_url = operator_url
+
+
+class Problem(NamedTuple):
+    """One thing that is wrong in a document.
+
+    Attributes:
+        source: Name of the list, or path of the file.
+        line: Line, from 1.
+        path: Path of the field; empty for the document as a whole.
+        expected: What the field is to be.
+        got: What came; never a secret.
+    """
+
+    source: str
+    line: int
+    path: str
+    expected: str
+    got: str
+
+    def __str__(self) -> str:
+        field = f"{self.path}: " if self.path else ""
+        return (
+            f"{self.source}:{self.line}: {field}"
+            f"expected {self.expected}, got {self.got}"
+        )
+
+
 class InvalidListsError(CyclamenshelfError):
     """The operators' lists do not parse or break a rule.
 
     Attributes:
-        problems: One text per problem, with file, line and field.
+        problems: Every problem of both lists.
     """
 
     code = "invalid_lists"
 
-    def __init__(self, problems: list[str]) -> None:
-        super().__init__("; ".join(problems))
+    def __init__(self, problems: list[Problem]) -> None:
+        super().__init__("; ".join(map(str, problems)))
         self.problems = problems
 
 
 class InvalidSettingsError(CyclamenshelfError):
-    """The settings file breaks its schema."""
+    """The settings file breaks its schema.
+
+    Attributes:
+        problems: Every problem of the file.
+    """
 
     code = "invalid_settings"
 
-    def __init__(self, problems: list[str]) -> None:
-        super().__init__("; ".join(problems))
+    def __init__(self, problems: list[Problem]) -> None:
+        super().__init__("; ".join(map(str, problems)))
         self.problems = problems
--- a/packages/daemon/src/cyclamenshelf_daemon/daemon.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/daemon.py
@@ -29,7 +29,6 @@
 from cyclamenshelf_daemon import tableclient
 from cyclamenshelf_daemon import webserver
 
-_OPERATOR_THREADS = 4
 _DRAIN_MS = 2_000
 
 
@@ -52,6 +51,7 @@
     caller_server: webserver.Server
     operator_server: webserver.Server
     peers: peer_messages.Peers
+    lists: configuration.Configuration
     role: CellRole
     lease_thread: threading.Thread
     lease_stopping: threading.Event
@@ -63,8 +63,17 @@
     settings: settings_files.Settings,
     secrets: settings_files.Secrets,
     clock: clocks.Clock,
+    stopping: threading.Event | None = None,
 ) -> Daemon:
-    """Start all parts of a daemon."""
+    """Start all parts of a daemon.
+
+    Args:
+        settings: Checked settings.
+        secrets: Secrets that the settings name.
+        clock: Clock of the process.
+        stopping: Set when an operator asks the process to drain and exit.
+    """
+    stopping = stopping or threading.Event()
     pool = httpclient.make_pool()
     table = tableclient.TableClient(pool, settings.table_url, clock)
     objects = objectclient.ObjectClient(pool, settings.objects_url)
@@ -142,25 +151,38 @@
         on_superseded=lambda: _stop_owner(role),
         stopping=lease_stopping,
     )
-    caller_context = callerapi.CallerContext(
-        acceptance.AcceptanceContext(
-            settings.cell,
-            table,
-            committer,
-            objects,
-            host_list,
-            clock,
-            get_lists=lambda: lists.lists,
-            on_changed=lambda kind, job_id: _announce_job(
-                role, peers, settings.cell, kind, job_id
-            ),
+    accepting = acceptance.AcceptanceContext(
+        settings.cell,
+        table,
+        committer,
+        objects,
+        host_list,
+        clock,
+        get_lists=lambda: lists.lists,
+        on_changed=lambda kind, job_id: _announce_job(
+            role, peers, settings.cell, kind, job_id
         ),
+    )
+    caller_context = callerapi.CallerContext(
+        accepting,
         lookup.LookupContext(settings.cell, table, objects, clock),
         routing.Router(pool, host_list, clock),
         get_lists=lambda: lists.lists,
     )
     operator_context = operatorapi.OperatorContext(
-        settings.host_id, lists, host_list, draining, lambda: role.owner
+        settings.host_id,
+        settings.cell,
+        settings.operator_port,
+        settings.operator_token_sha256,
+        lists,
+        host_list,
+        table,
+        clock,
+        draining,
+        get_owner=lambda: role.owner,
+        get_members=lambda: None,
+        cancel_job=lambda job: acceptance.cancel_job(accepting, job),
+        request_drain=stopping.set,
     )
     running = Daemon(
         webserver.start_server(
@@ -175,9 +197,10 @@
             peerstatus.add_status(
                 operatorapi.make_handler(operator_context), peers
             ),
-            threads=_OPERATOR_THREADS,
+            threads=settings.operator_threads,
         ),
         peers,
+        lists,
         role,
         celllease.start_holding(lease),
         lease_stopping,
