Add fair queues, breakers, retry budget and leaving marks for short requests

Change: routing split into modules for queues, servers, exchanges, rates and marks; connections get a thread of the callers' server once their request has arrived; waiting callers of jobs are bounded and woken by a hint.

--- a/packages/core/src/cyclamenshelf_core/errors.py
+++ b/packages/core/src/cyclamenshelf_core/errors.py
@@ -196,6 +196,13 @@
     status = 502
 
 
+class DeadlinePassedError(RequestRefusedError):
+    """The caller's deadline passed before an answer came."""
+
+    code = "deadline_passed"
+    status = 504
+
+
 class BodyTooLargeError(RequestRefusedError):
     """The request body is over the limit."""
 
--- a/packages/daemon/src/cyclamenshelf_daemon/daemon.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/daemon.py
@@ -17,12 +17,16 @@
 from cyclamenshelf_daemon import lookup
 from cyclamenshelf_daemon import objectclient
 from cyclamenshelf_daemon import operatorapi
+from cyclamenshelf_daemon import ratelimit
 from cyclamenshelf_daemon import routing
 from cyclamenshelf_daemon import settings as settings_files
 from cyclamenshelf_daemon import tableclient
+from cyclamenshelf_daemon import waiters as job_waiters
 from cyclamenshelf_daemon import webserver
 
 _OPERATOR_THREADS = 4
+# A backend server has about 60 connections for up to 9 entry hosts.
+_BACKEND_CONNECTIONS = 6
 _DRAIN_MS = 2_000
 
 
@@ -60,6 +64,15 @@
     lists = configuration.Configuration(table, clock)
     role = CellRole()
     draining, lease_stopping = threading.Event(), threading.Event()
+    waiters = job_waiters.Waiters(settings.caller_threads // 3)
+    router = routing.Router(
+        httpclient.make_pool(_BACKEND_CONNECTIONS),
+        host_list,
+        clock,
+        routing.make_limits(settings.caller_threads),
+        get_lists=lambda: lists.lists,
+        admit=ratelimit.make_local_admit(lambda: lists.lists, clock),
+    )
     groupcommit.start_committing(committer)
     hostlist.start_polling(host_list)
     configuration.start_polling(lists)
@@ -75,7 +88,7 @@
         has_left=lambda holder: (
             holder.partition("/")[0] not in host_list.hosts.entries
         ),
-        on_ended=lambda job_id: None,
+        on_ended=lambda job_id: job_waiters.notify(waiters, job_id),
     )
     holder = f"{settings.host_id}/{uuid.uuid4().hex}"
     lease = celllease.CellLease(
@@ -99,8 +112,8 @@
             get_lists=lambda: lists.lists,
             on_changed=lambda kind, job_id: _notice_job(role),
         ),
-        lookup.LookupContext(settings.cell, table, objects, clock),
-        routing.Router(pool, host_list, clock),
+        lookup.LookupContext(settings.cell, table, objects, clock, waiters),
+        router,
         get_lists=lambda: lists.lists,
     )
     operator_context = operatorapi.OperatorContext(
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/dispatch.py
@@ -0,0 +1,111 @@
+"""Threads that wait in the fair queues for a dispatch slot."""
+
+import threading
+
+from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_core import errors
+from cyclamenshelf_daemon import backends as backend_servers
+from cyclamenshelf_daemon import fairqueue
+
+# Slots also become free without an event here: a hold or a breaker's wait
+# ends, or a report gets old.
+_RECHECK_MS = 50
+_RETRY_AFTER_MS = 1_000
+
+
+class Dispatcher:
+    """The fair queue and the events that its waiting threads sleep on."""
+
+    def __init__(
+        self,
+        queue: fairqueue.FairQueue,
+        backends: backend_servers.Backends,
+        clock: clocks.Clock,
+    ) -> None:
+        self.queue = queue
+        self.backends = backends
+        self.clock = clock
+        self.lock = threading.Lock()
+        self.events: dict[fairqueue.Ticket, threading.Event] = {}
+
+
+def acquire_slot(
+    dispatcher: Dispatcher,
+    service: str,
+    account: str,
+    weight: int,
+    deadline_ms: int,
+) -> fairqueue.Ticket:
+    """Wait for a dispatch slot and return the ticket that holds it.
+
+    Raises:
+        errors.QueueFullError: There is no place in the queue.
+        errors.DeadlinePassedError: No slot came free before the deadline.
+        errors.BackendFailedError: No backend server may be sent to.
+    """
+    event = threading.Event()
+    with dispatcher.lock:
+        ticket, victim = fairqueue.add_ticket(
+            dispatcher.queue, service, account, weight
+        )
+        dispatcher.events[ticket] = event
+        if victim is not None:
+            dispatcher.events[victim].set()
+        _grant_slots(dispatcher, service)
+    try:
+        while not _check_granted(dispatcher, ticket, deadline_ms):
+            event.wait(_RECHECK_MS / 1000)
+    except errors.RequestRefusedError:
+        release_slot(dispatcher, ticket)
+        raise
+    finally:
+        with dispatcher.lock:
+            del dispatcher.events[ticket]
+    return ticket
+
+
+def release_slot(dispatcher: Dispatcher, ticket: fairqueue.Ticket) -> None:
+    """Give the slot back and pass it on."""
+    with dispatcher.lock:
+        fairqueue.remove_ticket(dispatcher.queue, ticket)
+        for service in dispatcher.queue.services:
+            _grant_slots(dispatcher, service)
+
+
+def _check_granted(
+    dispatcher: Dispatcher, ticket: fairqueue.Ticket, deadline_ms: int
+) -> bool:
+    """Return whether the ticket holds a slot; raise if it never will."""
+    with dispatcher.lock:
+        if ticket.state is fairqueue.TicketState.WAITING:
+            _grant_slots(dispatcher, ticket.service)
+        state = ticket.state
+    if state is fairqueue.TicketState.GRANTED:
+        return True
+    if state is fairqueue.TicketState.PUSHED_OUT:
+        raise errors.QueueFullError(
+            "gave its place to an account with fewer waiting requests",
+            retry_after_ms=_RETRY_AFTER_MS,
+        )
+    if dispatcher.clock.now_ms() >= deadline_ms:
+        raise errors.DeadlinePassedError("deadline passed before a free slot")
+    wait_ms = backend_servers.find_wait(dispatcher.backends, ticket.service)
+    if wait_ms is None or dispatcher.clock.now_ms() + wait_ms >= deadline_ms:
+        raise errors.BackendFailedError(
+            f"no backend server of {ticket.service[:80]} is available",
+            retry_after_ms=wait_ms or _RETRY_AFTER_MS,
+        )
+    return False
+
+
+def _grant_slots(dispatcher: Dispatcher, service: str) -> None:
+    """Grant the free slots of a service and wake their threads."""
+    queue = dispatcher.queue
+    if not queue.services[service].flows:
+        return
+    slots = backend_servers.count_slots(dispatcher.backends, service)
+    while True:
+        ticket = fairqueue.grant_next(queue, service, slots)
+        if ticket is None:
+            return
+        dispatcher.events[ticket].set()
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/exchange.py
@@ -0,0 +1,244 @@
+"""One exchange with a backend server: a request and its whole answer.
+
+An answer of up to `MAX_BUFFERED_BYTES` is read whole before anything goes to
+the caller. A longer one is passed on in chunks under the backend server's
+Content-Length; if it breaks off, so does the connection to the caller.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import NamedTuple
+
+import urllib3
+
+from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon import webserver
+
+MAX_BUFFERED_BYTES = 1024 * 1024
+_CHUNK_BYTES = 64 * 1024
+_CONNECT_TIMEOUT_MS = 1_000
+_MAX_RETRY_AFTER_MS = 60_000
+_NO_BODY = (204, 304)
+
+
+class ExchangeError(Exception):
+    """No whole answer came.
+
+    Attributes:
+        sent: Whether the backend server may have received the request.
+        timed_out: Whether the time for the exchange was over.
+    """
+
+    def __init__(
+        self, detail: str, *, sent: bool = True, timed_out: bool = False
+    ) -> None:
+        super().__init__(detail)
+        self.sent = sent
+        self.timed_out = timed_out
+
+
+class Answer(NamedTuple):
+    """A backend server's answer.
+
+    Attributes:
+        body: The whole body, or the stream of a longer one.
+        length: Bytes of the whole body.
+        slots_free: Free slots that the server reported, or None.
+    """
+
+    status: int
+    headers: urllib3.HTTPHeaderDict
+    body: "bytes | Stream"
+    length: int
+    slots_free: int | None
+
+
+class Stream:
+    """The chunks of a long answer, each read when the caller takes it.
+
+    Attributes:
+        on_end: Called once, with whether the answer came whole or None where
+            the caller went away first.
+    """
+
+    def __init__(
+        self, response: urllib3.BaseHTTPResponse, chunks: Iterator[bytes]
+    ) -> None:
+        self.response = response
+        self.chunks = chunks
+        self.on_end: Callable[[bool | None], None] = lambda whole: None
+        self.ended = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        try:
+            return next(self.chunks)
+        except StopIteration:
+            self._end(True)
+            raise
+        except ExchangeError as error:
+            self._end(False)
+            logs.log_event("answer_broken_off", "WARNING", detail=error)
+            raise webserver.ConnectionDroppedError from error
+
+    def close(self) -> None:
+        """End the stream; cheroot calls this after the last chunk sent."""
+        self._end(None)
+
+    def _end(self, whole: bool | None) -> None:
+        if not self.ended:
+            self.ended = True
+            if not whole:
+                self.response.close()
+            self.on_end(whole)
+
+
+def send_request(
+    pool: urllib3.PoolManager,
+    url: str,
+    body: bytes,
+    headers: dict[str, str],
+    deadline_ms: int,
+    clock: clocks.Clock,
+) -> Answer:
+    """Send a request once and return the answer.
+
+    Raises:
+        ExchangeError: No whole answer came before the deadline.
+    """
+    left_ms = deadline_ms - clock.now_ms()
+    if left_ms <= 0:
+        raise ExchangeError("no time left", sent=False, timed_out=True)
+    timeout = urllib3.Timeout(
+        connect=min(left_ms, _CONNECT_TIMEOUT_MS) / 1000, read=left_ms / 1000
+    )
+    try:
+        response = pool.request(
+            "POST",
+            url,
+            body=body,
+            headers=headers,
+            timeout=timeout,
+            redirect=False,
+            preload_content=False,
+            decode_content=False,
+        )
+    except urllib3.exceptions.HTTPError as error:
+        raise _make_error(error) from error
+    return _read_answer(response, headers["X-Request-Id"], deadline_ms, clock)
+
+
+def read_retry_after(answer: Answer) -> int | None:
+    """Return the Retry-After of an answer in milliseconds, if it has one."""
+    text = answer.headers.get("Retry-After", "")
+    if not text.isdecimal() or len(text) > 9:
+        return None
+    return min(int(text) * 1000, _MAX_RETRY_AFTER_MS)
+
+
+def _read_answer(
+    response: urllib3.BaseHTTPResponse,
+    request_id: str,
+    deadline_ms: int,
+    clock: clocks.Clock,
+) -> Answer:
+    try:
+        length = _read_length(response)
+        if response.headers.get("X-Request-Id", request_id) != request_id:
+            raise ExchangeError("answer belongs to another request")
+    except ExchangeError:
+        response.close()
+        raise
+    chunks = _read_chunks(response, length, deadline_ms, clock)
+    if length is not None and length > MAX_BUFFERED_BYTES:
+        body: bytes | Stream = Stream(response, chunks)
+    else:
+        body = _read_whole(response, chunks)
+        length = len(body)
+    free = response.headers.get("X-Slots-Free", "")
+    return Answer(
+        response.status,
+        response.headers,
+        body,
+        length,
+        int(free) if free.isdecimal() and len(free) < 9 else None,
+    )
+
+
+def _read_length(response: urllib3.BaseHTTPResponse) -> int | None:
+    """Return the declared length, or None for chunked transfer.
+
+    An answer that ends with its connection cannot be told from a cut one.
+    """
+    if response.status in _NO_BODY:
+        return 0
+    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
+        return None
+    text = response.headers.get("Content-Length", "")
+    if not text.isdecimal() or len(text) > 15:
+        raise ExchangeError(f"expected a Content-Length, got {text!r:.40}")
+    return int(text)
+
+
+def _read_chunks(
+    response: urllib3.BaseHTTPResponse,
+    length: int | None,
+    deadline_ms: int,
+    clock: clocks.Clock,
+) -> Iterator[bytes]:
+    """Yield the body; raise ExchangeError unless it is whole and in time."""
+    total = 0
+    while total != length:
+        left_ms = deadline_ms - clock.now_ms()
+        if left_ms <= 0:
+            raise ExchangeError("time over in the answer", timed_out=True)
+        _limit_read(response, left_ms)
+        try:
+            chunk = response.read1(_CHUNK_BYTES, decode_content=False)
+        except urllib3.exceptions.HTTPError as error:
+            raise _make_error(error) from error
+        if not chunk and length is not None:
+            raise ExchangeError(f"expected {length} bytes, got {total}")
+        if not chunk:
+            break
+        total += len(chunk)
+        yield chunk
+    response.release_conn()
+
+
+def _limit_read(response: urllib3.BaseHTTPResponse, left_ms: int) -> None:
+    """Let a read from the server last no longer than the time left."""
+    sock = getattr(response.connection, "sock", None)
+    if sock is not None:
+        sock.settimeout(left_ms / 1000)
+
+
+def _read_whole(
+    response: urllib3.BaseHTTPResponse, chunks: Iterator[bytes]
+) -> bytes:
+    body = bytearray()
+    try:
+        for chunk in chunks:
+            body += chunk
+            if len(body) > MAX_BUFFERED_BYTES:
+                raise ExchangeError("long answer without a Content-Length")
+    except ExchangeError:
+        response.close()
+        raise
+    return bytes(body)
+
+
+def _make_error(error: urllib3.exceptions.HTTPError) -> ExchangeError:
+    """Return the error with what is certain about the request."""
+    unsent = isinstance(
+        error,
+        urllib3.exceptions.NewConnectionError
+        | urllib3.exceptions.ConnectTimeoutError,
+    )
+    timed_out = isinstance(error, urllib3.exceptions.ReadTimeoutError)
+    return ExchangeError(
+        type(error).__name__, sent=not unsent, timed_out=timed_out
+    )
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/fairqueue.py
@@ -0,0 +1,207 @@
+"""Fair queues of accounts before a bounded number of dispatch slots.
+
+This module only decides; `dispatch` adds the lock and the waiting threads.
+A free slot goes to the account that holds the fewest slots for its weight,
+and among equals to the one with the smallest virtual start time (start-time
+fair queueing). The last free slots are kept for accounts that hold few, so
+that a bulk caller with long requests does not make a small one wait for the
+end of a request.
+"""
+
+import collections
+import enum
+
+from cyclamenshelf_core import errors
+
+_RESERVED_FRACTION = 8
+_MIN_SLOTS_TO_RESERVE = 4
+_RETRY_AFTER_MS = 1_000
+
+
+class TicketState(enum.Enum):
+    """What became of a request in the queue."""
+
+    WAITING = "waiting"
+    GRANTED = "granted"
+    PUSHED_OUT = "pushed_out"
+    RELEASED = "released"
+
+
+class Ticket:
+    """The place of one request."""
+
+    def __init__(self, service: str, account: str) -> None:
+        self.service = service
+        self.account = account
+        self.state = TicketState.WAITING
+
+
+class Flow:
+    """The requests of one account to one service."""
+
+    def __init__(self, weight: int) -> None:
+        self.weight = weight
+        self.waiting: collections.deque[Ticket] = collections.deque()
+        self.held = 0
+        self.virtual_start = 0.0
+
+
+class ServiceQueue:
+    """The flows to one service.
+
+    Attributes:
+        virtual: Virtual start time of the last granted request.
+    """
+
+    def __init__(self) -> None:
+        self.flows: dict[str, Flow] = {}
+        self.held = 0
+        self.virtual = 0.0
+
+
+class FairQueue:
+    """All requests that wait for a dispatch slot or hold one.
+
+    Attributes:
+        max_held: Requests that hold a slot at the same time, in all.
+        max_requests: Requests that hold a slot or wait, in all.
+        max_account_waiting: Requests of one account that wait.
+    """
+
+    def __init__(
+        self, max_held: int, max_requests: int, max_account_waiting: int
+    ) -> None:
+        self.max_held = max_held
+        self.max_requests = max_requests
+        self.max_account_waiting = max_account_waiting
+        self.services: dict[str, ServiceQueue] = {}
+        self.held = 0
+        self.waiting = 0
+
+
+def add_ticket(
+    queue: FairQueue, service: str, account: str, weight: int
+) -> tuple[Ticket, Ticket | None]:
+    """Queue a request; return its ticket and the one pushed out for it.
+
+    When all places are taken, the last request of the account with the most
+    waiting for its weight gives its place to an account with fewer.
+
+    Raises:
+        errors.QueueFullError: There is no place for this account.
+    """
+    if count_waiting(queue, account) >= queue.max_account_waiting:
+        raise _make_refusal("the account has too many waiting requests")
+    victim = None
+    if queue.held + queue.waiting >= queue.max_requests:
+        victim = _push_out(queue, account, weight)
+    service_queue = queue.services.setdefault(service, ServiceQueue())
+    flow = service_queue.flows.setdefault(account, Flow(weight))
+    flow.weight = weight
+    ticket = Ticket(service, account)
+    flow.waiting.append(ticket)
+    queue.waiting += 1
+    return ticket, victim
+
+
+def grant_next(queue: FairQueue, service: str, slots: int) -> Ticket | None:
+    """Grant a slot to the next request of a service, if one is free.
+
+    Args:
+        queue: The queue.
+        service: Service to serve.
+        slots: Slots of the service, free or held, that are known now.
+    """
+    service_queue = queue.services.get(service)
+    if service_queue is None:
+        return None
+    slots = min(slots, queue.max_held)
+    free = min(slots - service_queue.held, queue.max_held - queue.held)
+    reserved = count_reserved(slots)
+    candidates = [
+        (flow.held / flow.weight, start, account)
+        for account, flow in service_queue.flows.items()
+        if flow.waiting and (free > reserved or flow.held < reserved)
+        for start in [max(flow.virtual_start, service_queue.virtual)]
+    ]
+    if free <= 0 or not candidates:
+        return None
+    _, start, account = min(candidates)
+    flow = service_queue.flows[account]
+    ticket = flow.waiting.popleft()
+    queue.waiting -= 1
+    ticket.state = TicketState.GRANTED
+    service_queue.virtual = start
+    flow.virtual_start = start + 1 / flow.weight
+    flow.held += 1
+    service_queue.held += 1
+    queue.held += 1
+    return ticket
+
+
+def remove_ticket(queue: FairQueue, ticket: Ticket) -> None:
+    """Take a request out, whether it waits or holds a slot."""
+    service_queue = queue.services[ticket.service]
+    flow = service_queue.flows.get(ticket.account)
+    if flow is not None and ticket.state is TicketState.WAITING:
+        flow.waiting.remove(ticket)
+        queue.waiting -= 1
+    elif flow is not None and ticket.state is TicketState.GRANTED:
+        flow.held -= 1
+        service_queue.held -= 1
+        queue.held -= 1
+    ticket.state = TicketState.RELEASED
+    _forget_idle(service_queue)
+
+
+def count_waiting(queue: FairQueue, account: str) -> int:
+    """Return the waiting requests of an account, to all services."""
+    return sum(
+        len(service_queue.flows[account].waiting)
+        for service_queue in queue.services.values()
+        if account in service_queue.flows
+    )
+
+
+def count_reserved(slots: int) -> int:
+    """Return the slots that are kept for accounts that hold few."""
+    if slots < _MIN_SLOTS_TO_RESERVE:
+        return 0
+    return max(1, slots // _RESERVED_FRACTION)
+
+
+def _push_out(queue: FairQueue, account: str, weight: int) -> Ticket:
+    """Take out the last request of the account that waits with the most."""
+    loads = [
+        (len(flow.waiting) / flow.weight, name, service_queue)
+        for service_queue in queue.services.values()
+        for name, flow in service_queue.flows.items()
+        if flow.waiting and name != account
+    ]
+    own_load = (count_waiting(queue, account) + 1) / weight
+    load, name, service_queue = max(
+        loads, key=lambda item: item[:2], default=(0.0, "", None)
+    )
+    if service_queue is None or load <= own_load:
+        raise _make_refusal("too many requests are waiting")
+    victim = service_queue.flows[name].waiting.pop()
+    queue.waiting -= 1
+    victim.state = TicketState.PUSHED_OUT
+    return victim
+
+
+def _forget_idle(service_queue: ServiceQueue) -> None:
+    """Drop flows that are idle and owe no virtual time."""
+    idle = [
+        account
+        for account, flow in service_queue.flows.items()
+        if not flow.waiting
+        and not flow.held
+        and flow.virtual_start <= service_queue.virtual
+    ]
+    for account in idle:
+        del service_queue.flows[account]
+
+
+def _make_refusal(reason: str) -> errors.QueueFullError:
+    return errors.QueueFullError(reason, retry_after_ms=_RETRY_AFTER_MS)
--- a/packages/daemon/src/cyclamenshelf_daemon/hostlist.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/hostlist.py
@@ -1,5 +1,6 @@
 """The platform's host list, polled."""
 
+from collections.abc import Callable
 import threading
 from typing import Any
 from typing import NamedTuple
@@ -11,18 +12,26 @@
 from cyclamenshelf_daemon import httpclient
 from cyclamenshelf_daemon import logs
 
+# A poll starts each second and ends within one, so that a change is known
+# here at most 2 s after the list shows it (the bound for leaving is 3 s).
 _POLL_INTERVAL_MS = 1_000
-_CALL_TIMEOUT_MS = 2_000
+_CALL_TIMEOUT_MS = 1_000
 
 
 class Backend(NamedTuple):
-    """A backend server as the host list describes it."""
+    """A backend server as the host list describes it.
+
+    Attributes:
+        incarnation: Differs between two lives of a server under one id; empty
+            where the list gives none.
+    """
 
     id: str
     address: str
     service: str
     slots: int
     leaving: bool
+    incarnation: str = ""
 
 
 class EntryHost(NamedTuple):
@@ -42,7 +51,11 @@
 
 
 class HostList:
-    """The last reading; it stays in force while the list does not answer."""
+    """The last reading; it stays in force while the list does not answer.
+
+    Attributes:
+        observers: Called with each new reading, in the polling thread.
+    """
 
     def __init__(
         self, pool: urllib3.PoolManager, url: str, clock: clocks.Clock
@@ -52,6 +65,7 @@
         self.clock = clock
         self.hosts = Hosts({}, {}, {})
         self.read_at_ms: int | None = None
+        self.observers: list[Callable[[Hosts], None]] = []
 
 
 def start_polling(host_list: HostList) -> None:
@@ -74,14 +88,26 @@
     except httpclient.HttpFailureError as failure:
         logs.log_event("host_list_failed", "WARNING", detail=failure)
         return
-    if status == 200:
-        host_list.hosts = _decode_hosts(answer["hosts"])
-        host_list.read_at_ms = host_list.clock.now_ms()
+    if status != 200:
+        logs.log_event("host_list_failed", "WARNING", detail=status)
+        return
+    try:
+        hosts = _decode_hosts(answer["hosts"])
+    except (KeyError, TypeError) as error:
+        logs.log_event("host_list_failed", "WARNING", detail=repr(error))
+        return
+    host_list.hosts = hosts
+    host_list.read_at_ms = host_list.clock.now_ms()
+    for observe in host_list.observers:
+        observe(hosts)
 
 
 def _poll(host_list: HostList) -> None:
+    started_ms = host_list.clock.now_ms()
     while True:
-        host_list.clock.sleep_ms(_POLL_INTERVAL_MS)
+        spent_ms = host_list.clock.now_ms() - started_ms
+        host_list.clock.sleep_ms(max(0, _POLL_INTERVAL_MS - spent_ms))
+        started_ms = host_list.clock.now_ms()
         refresh_hosts(host_list)
 
 
@@ -105,6 +131,7 @@
                 host["service"],
                 host["slots"],
                 host["state"] == "leaving",
+                str(host.get("incarnation", "")),
             )
             for host in hosts
             if host["kind"] == "backend"
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/leaving.py
@@ -0,0 +1,148 @@
+"""Marks of backend servers that are leaving.
+
+A mark belongs to one incarnation of a server, so a server that is listed live
+again under a new incarnation has none. Where the list gives no incarnation, a
+mark ends once the list has shown the server as leaving or absent and then as
+live again.
+
+A mark is first-hand if the host list or the server itself gave it. One heard
+from another host without an incarnation ends by itself and is not told on:
+hosts that learn of a return at different times would otherwise keep telling
+each other the old mark.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import threading
+from typing import NamedTuple
+
+from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_daemon import hostlist
+from cyclamenshelf_daemon import logs
+
+HEARSAY_MS = 10_000
+# How long a server stays told after the list has dropped it: the lists of
+# other hosts lag.
+_KEPT_MS = 60_000
+_SEPARATOR = "@"
+
+
+class Mark(NamedTuple):
+    """What is known of one incarnation that is leaving.
+
+    Attributes:
+        until_ms: End of a mark heard without an incarnation, else None.
+        listed_ms: When the list last had this incarnation.
+        gone: Whether the list has shown it as leaving or absent.
+    """
+
+    until_ms: int | None
+    listed_ms: int
+    gone: bool
+
+
+class LeavingMarks:
+    """Marks by backend server id and incarnation."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.clock = clock
+        self.lock = threading.Lock()
+        self.marks: dict[tuple[str, str], Mark] = {}
+
+
+def is_marked(marks: LeavingMarks, backend: hostlist.Backend) -> bool:
+    """Return whether the server is to get no new work."""
+    if backend.leaving:
+        return True
+    mark = marks.marks.get((backend.id, backend.incarnation))
+    return mark is not None and _is_in_force(mark, marks.clock.now_ms())
+
+
+def mark_announced(marks: LeavingMarks, backend: hostlist.Backend) -> None:
+    """Mark a server that said itself that it is leaving."""
+    with marks.lock:
+        _add(marks, (backend.id, backend.incarnation), None)
+
+
+def mark_heard(
+    marks: LeavingMarks,
+    texts: Iterable[str],
+    backends: Mapping[str, hostlist.Backend],
+) -> None:
+    """Mark the servers that another host's `list_marks` named."""
+    with marks.lock:
+        for text in texts:
+            backend_id, incarnation = _split(text, backends)
+            until_ms = None
+            if not incarnation:
+                until_ms = marks.clock.now_ms() + HEARSAY_MS
+            _add(marks, (backend_id, incarnation), until_ms)
+
+
+def list_marks(marks: LeavingMarks) -> list[str]:
+    """Return what to tell other hosts: `<id>` or `<id>@<incarnation>`."""
+    with marks.lock:
+        return sorted(
+            _SEPARATOR.join(filter(None, key))
+            for key, mark in marks.marks.items()
+            if mark.until_ms is None
+        )
+
+
+def note_reading(
+    marks: LeavingMarks, backends: Mapping[str, hostlist.Backend]
+) -> None:
+    """Bring the marks in line with a new reading of the host list."""
+    now_ms = marks.clock.now_ms()
+    with marks.lock:
+        for backend in backends.values():
+            key = (backend.id, backend.incarnation)
+            if backend.leaving:
+                _add(marks, key, None)
+                marks.marks[key] = Mark(None, now_ms, gone=True)
+            elif key in marks.marks:
+                _note_live(marks, key, now_ms)
+        for key, mark in list(marks.marks.items()):
+            listed = backends.get(key[0])
+            if listed is None or listed.incarnation != key[1]:
+                marks.marks[key] = mark._replace(gone=True)
+            if now_ms - mark.listed_ms > _KEPT_MS and mark.gone:
+                del marks.marks[key]
+
+
+def _note_live(marks: LeavingMarks, key: tuple[str, str], now_ms: int) -> None:
+    mark = marks.marks[key]
+    returned = mark.gone and not key[1]
+    if returned or not _is_in_force(mark, now_ms):
+        del marks.marks[key]
+        logs.log_event("backend_returned", backend=key[0])
+    else:
+        marks.marks[key] = mark._replace(listed_ms=now_ms)
+
+
+def _add(
+    marks: LeavingMarks, key: tuple[str, str], until_ms: int | None
+) -> None:
+    """Add a mark; one without an end is never given one."""
+    now_ms = marks.clock.now_ms()
+    mark = marks.marks.get(key)
+    if mark is None:
+        mark = Mark(until_ms, now_ms, gone=False)
+        logs.log_event("backend_leaving", backend=key[0], incarnation=key[1])
+    elif mark.until_ms is not None:
+        mark = mark._replace(until_ms=until_ms)
+    marks.marks[key] = mark
+
+
+def _is_in_force(mark: Mark, now_ms: int) -> bool:
+    return mark.until_ms is None or now_ms < mark.until_ms
+
+
+def _split(
+    text: str, backends: Mapping[str, hostlist.Backend]
+) -> tuple[str, str]:
+    """Return id and incarnation; a bare id means the incarnation listed."""
+    if text in backends:
+        return text, backends[text].incarnation
+    backend_id, separator, incarnation = text.rpartition(_SEPARATOR)
+    return (backend_id, incarnation) if separator else (text, "")
--- a/packages/daemon/src/cyclamenshelf_daemon/lookup.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/lookup.py
@@ -11,9 +11,10 @@
 from cyclamenshelf_core import model
 from cyclamenshelf_daemon import objectclient
 from cyclamenshelf_daemon import tableclient
+from cyclamenshelf_daemon import waiters as job_waiters
 
 MAX_WAIT_MS = 20_000
-_POLL_INTERVAL_MS = 200
+_POLL_INTERVAL_MS = 1_000
 _MAX_LISTED = 1_000
 
 
@@ -24,6 +25,7 @@
     table: tableclient.TableClient
     objects: objectclient.ObjectClient
     clock: clocks.Clock
+    waiters: job_waiters.Waiters
 
 
 def find_job(context: LookupContext, account: str, job_id: str) -> model.Job:
@@ -51,14 +53,21 @@
 def wait_for_end(
     context: LookupContext, account: str, job_id: str, wait_ms: int
 ) -> model.Job:
-    """Return the job once it has ended, or as it is after `wait_ms`."""
+    """Return the job once it has ended, or as it is after `wait_ms`.
+
+    Returns at once when too many threads wait already.
+    """
     give_up_ms = context.clock.now_ms() + min(wait_ms, MAX_WAIT_MS)
-    while True:
-        job = find_job(context, account, job_id)
-        left_ms = give_up_ms - context.clock.now_ms()
-        if job.state in model.ENDED_STATES or left_ms <= 0:
-            return job
-        context.clock.sleep_ms(min(_POLL_INTERVAL_MS, left_ms))
+    with job_waiters.register_waiter(context.waiters, job_id) as hint:
+        while True:
+            # A hint that comes during the read must lead to another read.
+            if hint is not None:
+                hint.clear()
+            job = find_job(context, account, job_id)
+            left_ms = give_up_ms - context.clock.now_ms()
+            if job.state in model.ENDED_STATES or left_ms <= 0 or hint is None:
+                return job
+            hint.wait(min(_POLL_INTERVAL_MS, left_ms) / 1000)
 
 
 def list_jobs(context: LookupContext, account: str) -> list[model.Job]:
--- a/packages/daemon/src/cyclamenshelf_daemon/webserver.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/webserver.py
@@ -11,11 +11,13 @@
 import urllib.parse
 
 import cheroot.errors
-import cheroot.wsgi
+
+from cyclamenshelf_daemon import slowclients
 
 MAX_BODY_BYTES = 2 * 1024 * 1024
-_SOCKET_TIMEOUT_S = 10
-_ACCEPT_BACKLOG = 128
+_ACCEPT_BACKLOG = 1024
+# Beyond this, a connection is closed after each answer.
+_MAX_IDLE_CONNECTIONS = 1_000
 
 
 class Request(NamedTuple):
@@ -123,15 +125,16 @@
         stop_timeout_s: How long a stop waits for open requests; None waits
             until all are answered.
     """
-    server = cheroot.wsgi.Server(
+    server = slowclients.PatientServer(
         (host, port),
         _make_wsgi_app(handler),
         numthreads=threads,
         request_queue_size=_ACCEPT_BACKLOG,
-        timeout=_SOCKET_TIMEOUT_S,
+        timeout=slowclients.TIMEOUT_S,
         shutdown_timeout=stop_timeout_s,
     )
     server.max_request_body_size = max_body_bytes
+    server.keep_alive_conn_limit = _MAX_IDLE_CONNECTIONS
     server.prepare()
     thread = threading.Thread(
         target=server.serve, name=f"serve-{port}", daemon=True
@@ -168,12 +171,18 @@
         for name, value in environ.items()
         if name.startswith("HTTP_")
     }
+    if "CONTENT_TYPE" in environ:
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    body = environ["wsgi.input"].read(length) if length else b""
+    if len(body) < length:
+        # Half a request must not be run as if it were the whole.
+        raise ConnectionDroppedError("request body broken off")
     return Request(
         method=environ["REQUEST_METHOD"],
         path=environ["PATH_INFO"],
         query=dict(urllib.parse.parse_qsl(environ["QUERY_STRING"])),
         headers=headers,
-        body=environ["wsgi.input"].read(length) if length else b"",
+        body=body,
     )
 
 
