Test routing of short requests against the stand-ins' records

Cause: at most once, true refusals, leaving marks, breakers and fairness had no test. Change: shares by slot time, and tests with an injected clock.

--- a/packages/daemon/src/cyclamenshelf_daemon/dispatch.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/dispatch.py
@@ -1,5 +1,6 @@
 """Threads that wait in the fair queues for a dispatch slot."""
 
+from collections.abc import Callable
 import threading
 
 from cyclamenshelf_core import clock as clocks
@@ -14,7 +15,11 @@
 
 
 class Dispatcher:
-    """The fair queue and the events that its waiting threads sleep on."""
+    """The fair queue and the events that its waiting threads sleep on.
+
+    Attributes:
+        wait: Sleeps until an event is set, at most for some milliseconds.
+    """
 
     def __init__(
         self,
@@ -27,6 +32,7 @@
         self.clock = clock
         self.lock = threading.Lock()
         self.events: dict[fairqueue.Ticket, threading.Event] = {}
+        self.wait: Callable[[threading.Event, int], None] = _wait
 
 
 def acquire_slot(
@@ -54,7 +60,7 @@
         _grant_slots(dispatcher, service)
     try:
         while not _check_granted(dispatcher, ticket, deadline_ms):
-            event.wait(_RECHECK_MS / 1000)
+            dispatcher.wait(event, _RECHECK_MS)
     except errors.RequestRefusedError:
         release_slot(dispatcher, ticket)
         raise
@@ -67,11 +73,17 @@
 def release_slot(dispatcher: Dispatcher, ticket: fairqueue.Ticket) -> None:
     """Give the slot back and pass it on."""
     with dispatcher.lock:
-        fairqueue.remove_ticket(dispatcher.queue, ticket)
+        fairqueue.remove_ticket(
+            dispatcher.queue, ticket, dispatcher.clock.now_ms()
+        )
         for service in dispatcher.queue.services:
             _grant_slots(dispatcher, service)
 
 
+def _wait(event: threading.Event, timeout_ms: int) -> None:
+    event.wait(timeout_ms / 1000)
+
+
 def _check_granted(
     dispatcher: Dispatcher, ticket: fairqueue.Ticket, deadline_ms: int
 ) -> bool:
@@ -105,7 +117,9 @@
         return
     slots = backend_servers.count_slots(dispatcher.backends, service)
     while True:
-        ticket = fairqueue.grant_next(queue, service, slots)
+        ticket = fairqueue.grant_next(
+            queue, service, slots, dispatcher.clock.now_ms()
+        )
         if ticket is None:
             return
         dispatcher.events[ticket].set()
--- a/packages/daemon/src/cyclamenshelf_daemon/fairqueue.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/fairqueue.py
@@ -1,11 +1,14 @@
 """Fair queues of accounts before a bounded number of dispatch slots.
 
 This module only decides; `dispatch` adds the lock and the waiting threads.
-A free slot goes to the account that holds the fewest slots for its weight,
-and among equals to the one with the smallest virtual start time (start-time
-fair queueing). The last free slots are kept for accounts that hold few, so
-that a bulk caller with long requests does not make a small one wait for the
-end of a request.
+A free slot goes to the account with the smallest virtual start time
+(start-time fair queueing), and each grant moves the account's next start by
+the time the slot is held, divided by the weight. That time is not known at
+the grant: it is estimated from the account's last requests and corrected at
+the end. Counting requests instead would favour accounts with long ones.
+
+The last free slots are kept for accounts that hold few, so that a bulk caller
+with long requests does not make a small one wait for the end of a request.
 """
 
 import collections
@@ -13,8 +16,10 @@
 
 from cyclamenshelf_core import errors
 
-_RESERVED_FRACTION = 8
-_MIN_SLOTS_TO_RESERVE = 4
+_DEFAULT_COST_MS = 100.0
+_COST_SMOOTHING = 0.2
+# Slots kept for accounts that hold few, by the least number of slots.
+_RESERVED_SLOTS = ((32, 2), (8, 1), (0, 0))
 _RETRY_AFTER_MS = 1_000
 
 
@@ -28,19 +33,31 @@
 
 
 class Ticket:
-    """The place of one request."""
+    """The place of one request.
+
+    Attributes:
+        granted_ms: When it was granted a slot.
+        charged_ms: The slot time that its account was charged for it.
+    """
 
     def __init__(self, service: str, account: str) -> None:
         self.service = service
         self.account = account
         self.state = TicketState.WAITING
+        self.granted_ms = 0
+        self.charged_ms = 0.0
 
 
 class Flow:
-    """The requests of one account to one service."""
+    """The requests of one account to one service.
 
-    def __init__(self, weight: int) -> None:
+    Attributes:
+        cost_ms: Smoothed time that its requests hold a slot.
+    """
+
+    def __init__(self, weight: int, cost_ms: float) -> None:
         self.weight = weight
+        self.cost_ms = cost_ms
         self.waiting: collections.deque[Ticket] = collections.deque()
         self.held = 0
         self.virtual_start = 0.0
@@ -51,12 +68,14 @@
 
     Attributes:
         virtual: Virtual start time of the last granted request.
+        cost_ms: Smoothed time that requests hold a slot.
     """
 
     def __init__(self) -> None:
         self.flows: dict[str, Flow] = {}
         self.held = 0
         self.virtual = 0.0
+        self.cost_ms = _DEFAULT_COST_MS
 
 
 class FairQueue:
@@ -96,7 +115,9 @@
     if queue.held + queue.waiting >= queue.max_requests:
         victim = _push_out(queue, account, weight)
     service_queue = queue.services.setdefault(service, ServiceQueue())
-    flow = service_queue.flows.setdefault(account, Flow(weight))
+    flow = service_queue.flows.setdefault(
+        account, Flow(weight, service_queue.cost_ms)
+    )
     flow.weight = weight
     ticket = Ticket(service, account)
     flow.waiting.append(ticket)
@@ -104,13 +125,16 @@
     return ticket, victim
 
 
-def grant_next(queue: FairQueue, service: str, slots: int) -> Ticket | None:
+def grant_next(
+    queue: FairQueue, service: str, slots: int, now_ms: int
+) -> Ticket | None:
     """Grant a slot to the next request of a service, if one is free.
 
     Args:
         queue: The queue.
         service: Service to serve.
         slots: Slots of the service, free or held, that are known now.
+        now_ms: Time now.
     """
     service_queue = queue.services.get(service)
     if service_queue is None:
@@ -119,27 +143,27 @@
     free = min(slots - service_queue.held, queue.max_held - queue.held)
     reserved = count_reserved(slots)
     candidates = [
-        (flow.held / flow.weight, start, account)
+        (max(flow.virtual_start, service_queue.virtual), flow.held, account)
         for account, flow in service_queue.flows.items()
         if flow.waiting and (free > reserved or flow.held < reserved)
-        for start in [max(flow.virtual_start, service_queue.virtual)]
     ]
     if free <= 0 or not candidates:
         return None
-    _, start, account = min(candidates)
+    start, _, account = min(candidates)
     flow = service_queue.flows[account]
     ticket = flow.waiting.popleft()
     queue.waiting -= 1
     ticket.state = TicketState.GRANTED
+    ticket.granted_ms, ticket.charged_ms = now_ms, flow.cost_ms
     service_queue.virtual = start
-    flow.virtual_start = start + 1 / flow.weight
+    flow.virtual_start = start + flow.cost_ms / flow.weight
     flow.held += 1
     service_queue.held += 1
     queue.held += 1
     return ticket
 
 
-def remove_ticket(queue: FairQueue, ticket: Ticket) -> None:
+def remove_ticket(queue: FairQueue, ticket: Ticket, now_ms: int) -> None:
     """Take a request out, whether it waits or holds a slot."""
     service_queue = queue.services[ticket.service]
     flow = service_queue.flows.get(ticket.account)
@@ -150,10 +174,21 @@
         flow.held -= 1
         service_queue.held -= 1
         queue.held -= 1
+        _charge(service_queue, flow, ticket, now_ms)
     ticket.state = TicketState.RELEASED
     _forget_idle(service_queue)
 
 
+def _charge(
+    service_queue: ServiceQueue, flow: Flow, ticket: Ticket, now_ms: int
+) -> None:
+    """Correct what the account was charged by the time the slot was held."""
+    held_ms = max(1, now_ms - ticket.granted_ms)
+    flow.virtual_start += (held_ms - ticket.charged_ms) / flow.weight
+    for item in (flow, service_queue):
+        item.cost_ms += _COST_SMOOTHING * (held_ms - item.cost_ms)
+
+
 def count_waiting(queue: FairQueue, account: str) -> int:
     """Return the waiting requests of an account, to all services."""
     return sum(
@@ -165,9 +200,7 @@
 
 def count_reserved(slots: int) -> int:
     """Return the slots that are kept for accounts that hold few."""
-    if slots < _MIN_SLOTS_TO_RESERVE:
-        return 0
-    return max(1, slots // _RESERVED_FRACTION)
+    return next(kept for least, kept in _RESERVED_SLOTS if slots >= least)
 
 
 def _push_out(queue: FairQueue, account: str, weight: int) -> Ticket:
--- /dev/null
+++ b/testing/daemon/test_leaving.py
@@ -0,0 +1,104 @@
+import pytest
+
+from cyclamenshelf_core import errors
+from cyclamenshelf_daemon import hostlist
+from cyclamenshelf_daemon import httpclient
+from cyclamenshelf_daemon import leaving
+from cyclamenshelf_daemon import routing
+from cyclamenshelf_daemon import webserver
+from cyclamenshelf_standin import hostservice
+
+
+def test_own_announcement_takes_effect_at_once(make_fleet):
+    fleet = make_fleet()
+    state = fleet.add("b0", leaving=True)
+    assert fleet.route().status == 200
+    with pytest.raises(errors.BackendFailedError) as refusal:
+        fleet.route()
+    assert refusal.value.run is errors.Run.NOT_RUN
+    assert len(state.records) == 1
+    assert routing.list_leaving(fleet.router) == ["b0"]
+
+
+@pytest.mark.parametrize("slots", [1, 8])
+def test_listed_as_leaving_gets_nothing_while_others_serve(make_fleet, slots):
+    fleet = make_fleet(slots=slots)
+    left, stays = fleet.add("b0"), fleet.add("b1")
+    fleet.show("b0", leaving=True)
+    for _ in range(20):
+        fleet.route()
+    assert (len(left.records), len(stays.records)) == (0, 20)
+
+
+@pytest.mark.parametrize(
+    ("readings", "used"),
+    [
+        ([("leaving", "1"), ("live", "1")], False),  # A list that lags.
+        ([("leaving", "1"), ("live", "2")], True),
+        ([("live", "2")], True),  # The mark was for its earlier life.
+        ([("leaving", ""), ("live", "")], True),
+    ],
+)
+def test_server_is_used_again_under_a_new_incarnation(
+    make_fleet, readings, used
+):
+    fleet = make_fleet()
+    fleet.add("b0")
+    fleet.show("b0", incarnation=readings[0][1] and "1")
+    routing.mark_leaving(fleet.router, ["b0"])
+    for state, incarnation in readings:
+        fleet.show("b0", leaving=state == "leaving", incarnation=incarnation)
+    listed = fleet.host_list.hosts.backends["b0"]
+    assert leaving.is_marked(fleet.router.backends.leaving, listed) is not used
+
+
+def test_marks_are_told_with_their_incarnation(make_fleet):
+    # A host that hears the mark late must not mark the next life.
+    told, hears = make_fleet(), make_fleet()
+    told.show("b0", "x", leaving=True, incarnation="1")
+    marks = routing.list_leaving(told.router)
+    for incarnation, expected in (("1", True), ("2", False)):
+        hears.show("b0", "x", incarnation=incarnation)
+        routing.mark_leaving(hears.router, marks)
+        listed = hears.host_list.hosts.backends["b0"]
+        marked = leaving.is_marked(hears.router.backends.leaving, listed)
+        assert marked is expected
+
+
+def test_hearsay_without_incarnation_ends_and_is_not_told_on(
+    make_fleet, manual_clock
+):
+    fleet = make_fleet(manual_clock)
+    fleet.add("b0")
+    routing.mark_leaving(fleet.router, ["b0"])
+    with pytest.raises(errors.BackendFailedError):
+        fleet.route()
+    assert routing.list_leaving(fleet.router) == []
+    manual_clock.move(leaving.HEARSAY_MS)
+    assert fleet.route().status == 200
+
+
+def test_reading_of_the_host_list_carries_state_and_incarnation(manual_clock):
+    hosts = hostservice.Hosts()
+    entry = {
+        "id": "b0",
+        "kind": "backend",
+        "state": "leaving",
+        "address": "x",
+        "service": "s",
+        "slots": 8,
+    }
+    hosts.hosts = {"b0": entry, "b1": entry | {"id": "b1", "incarnation": 7}}
+    server = webserver.start_server(
+        "127.0.0.1", 0, hostservice.make_handler(hosts), threads=2
+    )
+    host_list = hostlist.HostList(
+        httpclient.make_pool(),
+        f"http://127.0.0.1:{server.port}",
+        manual_clock.clock,
+    )
+    hostlist.refresh_hosts(host_list)
+    server.stop()
+    found = host_list.hosts.backends
+    assert found["b0"].leaving and found["b0"].incarnation == ""
+    assert found["b1"].incarnation == "7"
