--- a/packages/daemon/src/cyclamenshelf_daemon/daemon.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/daemon.py
@@ -16,6 +16,7 @@
 from cyclamenshelf_daemon import groupcommit
 from cyclamenshelf_daemon import hostlist
 from cyclamenshelf_daemon import httpclient
+from cyclamenshelf_daemon import leaving
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import lookup
 from cyclamenshelf_daemon import membership as memberships
@@ -27,8 +28,11 @@
 from cyclamenshelf_daemon import routing
 from cyclamenshelf_daemon import settings as settings_files
 from cyclamenshelf_daemon import tableclient
+from cyclamenshelf_daemon import waiters as job_waiters
 from cyclamenshelf_daemon import webserver
 
+# A backend server has about 60 connections for up to 9 entry hosts.
+_BACKEND_CONNECTIONS = 6
 _DRAIN_MS = 2_000
 
 
@@ -82,11 +86,22 @@
     lists = configuration.Configuration(table, clock)
     role = CellRole()
     draining, lease_stopping = threading.Event(), threading.Event()
+    shares = rate_shares.Shares(clock.now_ms())
+    waiters = job_waiters.Waiters(settings.caller_threads // 3)
+    router = routing.Router(
+        httpclient.make_pool(_BACKEND_CONNECTIONS),
+        host_list,
+        clock,
+        routing.make_limits(settings.caller_threads),
+        get_lists=lambda: lists.lists,
+        admit=lambda account: _admit_request(
+            shares, lists.lists, clock, account
+        ),
+    )
     groupcommit.start_committing(committer)
     hostlist.start_polling(host_list)
     configuration.start_polling(lists)
 
-    shares = rate_shares.Shares(clock.now_ms())
     membership = memberships.Membership(
         settings.host_id,
         memberships.make_incarnation(clock),
@@ -114,7 +129,9 @@
                 rate_shares.close_round(shares, clock.now_ms()),
                 _count_queued(role),
             ),
-            on_hint=lambda kind, job_id: _take_hint(role, kind),
+            on_hint=lambda kind, job_id: _take_hint(
+                role, waiters, kind, job_id
+            ),
             on_present=lambda present: rate_shares.update_hosts(
                 shares, present
             ),
@@ -125,6 +142,10 @@
         settings.peer_port,
     )
 
+    host_list.observers.append(
+        lambda hosts: _exchange_leaving(router, membership, hosts)
+    )
+
     owner_context = cellowner.OwnerContext(
         table,
         committer,
@@ -136,8 +157,8 @@
         has_left=lambda holder: (
             holder.partition("/")[0] not in host_list.hosts.entries
         ),
-        on_ended=lambda job_id: peer_messages.send_hint(
-            peers, messages.HintKind.ENDED, settings.cell, job_id
+        on_ended=lambda job_id: _announce_end(
+            waiters, peers, settings.cell, job_id
         ),
     )
     holder = memberships.make_holder(settings.host_id, membership.incarnation)
@@ -165,8 +186,8 @@
     )
     caller_context = callerapi.CallerContext(
         accepting,
-        lookup.LookupContext(settings.cell, table, objects, clock),
-        routing.Router(pool, host_list, clock),
+        lookup.LookupContext(settings.cell, table, objects, clock, waiters),
+        router,
         get_lists=lambda: lists.lists,
     )
     operator_context = operatorapi.OperatorContext(
@@ -279,11 +300,58 @@
         )
 
 
-def _take_hint(role: CellRole, kind: messages.HintKind) -> None:
-    if kind is not messages.HintKind.ENDED:
+def _announce_end(
+    waiters: job_waiters.Waiters,
+    peers: peer_messages.Peers,
+    cell: str,
+    job_id: str,
+) -> None:
+    """Wake the callers that wait for a job, here and on other hosts."""
+    job_waiters.notify(waiters, job_id)
+    peer_messages.send_hint(peers, messages.HintKind.ENDED, cell, job_id)
+
+
+def _take_hint(
+    role: CellRole,
+    waiters: job_waiters.Waiters,
+    kind: messages.HintKind,
+    job_id: str,
+) -> None:
+    if kind is messages.HintKind.ENDED:
+        job_waiters.notify(waiters, job_id)
+    else:
         _notice_job(role)
 
 
+def _exchange_leaving(
+    router: routing.Router,
+    membership: memberships.Membership,
+    hosts: hostlist.Hosts,
+) -> None:
+    """Tell other hosts of leaving backend servers and take their marks."""
+    for text in routing.list_leaving(router):
+        memberships.mark_leaving(membership, text)
+    heard = [
+        text
+        for text in map(leaving.format_mark, hosts.backends.values())
+        if memberships.is_leaving(membership, text)
+    ]
+    routing.mark_leaving(router, heard)
+
+
+def _admit_request(
+    shares: rate_shares.Shares,
+    lists: model.Lists,
+    clock: clocks.Clock,
+    account: str,
+) -> bool:
+    """Return whether this host's share of the account's rate allows one."""
+    rate_per_s = model.get_plan(lists, account).request_rate_per_s
+    return rate_shares.admit_request(
+        shares, account, rate_per_s, clock.now_ms()
+    )
+
+
 def _count_queued(role: CellRole) -> dict[str, int]:
     """Return the queued jobs by account, while this process is the owner."""
     owner = role.owner
--- a/packages/daemon/src/cyclamenshelf_daemon/hostlist.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/hostlist.py
@@ -4,6 +4,7 @@
 little at any number of hosts.
 """
 
+from collections.abc import Callable
 import json
 import threading
 from typing import Any
@@ -16,18 +17,26 @@
 from cyclamenshelf_daemon import httpclient
 from cyclamenshelf_daemon import logs
 
+# A poll starts each second and ends within one, so that a change is known
+# here at most 2 s after the list shows it (the bound for leaving is 3 s).
 _POLL_INTERVAL_MS = 1_000
-_CALL_TIMEOUT_MS = 2_000
+_CALL_TIMEOUT_MS = 1_000
 
 
 class Backend(NamedTuple):
-    """A backend server as the host list describes it."""
+    """A backend server as the host list describes it.
+
+    Attributes:
+        incarnation: Differs between two lives of a server under one id; empty
+            where the list gives none.
+    """
 
     id: str
     address: str
     service: str
     slots: int
     leaving: bool
+    incarnation: str = ""
 
 
 class EntryHost(NamedTuple):
@@ -47,7 +56,12 @@
 
 
 class HostList:
-    """The last reading; it stays in force while the list does not answer."""
+    """The last reading; it stays in force while the list does not answer.
+
+    Attributes:
+        observers: Called with the list after each reading, changed or not, in
+            the polling thread.
+    """
 
     def __init__(
         self, pool: urllib3.PoolManager, url: str, clock: clocks.Clock
@@ -58,6 +72,7 @@
         self.hosts = Hosts({}, {}, {})
         self.read_at_ms: int | None = None
         self.etag = ""
+        self.observers: list[Callable[[Hosts], None]] = []
 
 
 def start_polling(host_list: HostList) -> None:
@@ -80,19 +95,31 @@
         )
         if result.status == 200:
             hosts = _decode_hosts(json.loads(result.body)["hosts"])
-    except (httpclient.HttpFailureError, ValueError, KeyError) as error:
-        logs.log_event("host_list_failed", "WARNING", detail=error)
+    except (
+        httpclient.HttpFailureError,
+        ValueError,
+        KeyError,
+        TypeError,
+    ) as error:
+        logs.log_event("host_list_failed", "WARNING", detail=repr(error))
+        return
+    if result.status not in (200, 304):
+        logs.log_event("host_list_failed", "WARNING", detail=result.status)
         return
     if result.status == 200:
         host_list.hosts = hosts
         host_list.etag = result.headers.get("ETag", "")
-    if result.status in (200, 304):
-        host_list.read_at_ms = host_list.clock.now_ms()
+    host_list.read_at_ms = host_list.clock.now_ms()
+    for observe in host_list.observers:
+        observe(host_list.hosts)
 
 
 def _poll(host_list: HostList) -> None:
+    started_ms = host_list.clock.now_ms()
     while True:
-        host_list.clock.sleep_ms(_POLL_INTERVAL_MS)
+        spent_ms = host_list.clock.now_ms() - started_ms
+        host_list.clock.sleep_ms(max(0, _POLL_INTERVAL_MS - spent_ms))
+        started_ms = host_list.clock.now_ms()
         refresh_hosts(host_list)
 
 
@@ -116,6 +143,7 @@
                 host["service"],
                 host["slots"],
                 host["state"] == "leaving",
+                str(host.get("incarnation", "")),
             )
             for host in hosts
             if host["kind"] == "backend"
