Assign guarantees by search and decide by plan, class, use and deadline

Cause: decisions were first come, first served, first fit; guarantees were assigned by a first fit that misses assignments that exist. Ruled out: guarantees as whole workers only, since two accounts may share a worker; preempting checkpointable jobs that may not be repeated, since the owner fails such a job when its attempt is stopped after a part ran. Change: the planner keeps, on each worker, the sum over accounts of the larger of guarantee and unstoppable work within its accelerators, which makes all guarantees reclaimable at the same time. Jobs are served by guarantee, class, weighted use and latest start. Promises to jobs that wait for preempted ones are kept by the caller in PolicyState. The owner also decides once a second while jobs are blocked, because reservations fall due by time alone.

--- a/packages/core/src/cyclamenshelf_core/policy.py
+++ b/packages/core/src/cyclamenshelf_core/policy.py
@@ -1,74 +1,149 @@
-"""Decisions of a cell owner: which job starts where, and which is stopped."""
+"""Decisions of a cell owner: which job starts where, and which is stopped.
+
+A decision goes through these steps:
+
+1. Guarantees of all accounts are assigned to workers.
+2. Jobs to which earlier decisions promised workers start there or wait on.
+3. Each account's jobs fill its guarantee, stopping borrowers if need be.
+4. Urgent, normal and background jobs follow, by weighted usage of accounts.
+"""
 
 from typing import NamedTuple
 
+from cyclamenshelf_core import decisions
 from cyclamenshelf_core import guarantees
+from cyclamenshelf_core import ledger as ledgers
 from cyclamenshelf_core import model
+from cyclamenshelf_core import ordering
+from cyclamenshelf_core import placement as placements
+from cyclamenshelf_core import preemption
+from cyclamenshelf_core import runtimes
+from cyclamenshelf_core import usage as usages
 
+Blocked = decisions.Blocked
+Claim = decisions.Claim
+Decision = decisions.Decision
+Preempt = decisions.Preempt
+Running = decisions.Running
+Snapshot = decisions.Snapshot
+Start = decisions.Start
 
-class Running(NamedTuple):
-    """A job that holds accelerators, from reservation to the last release."""
+# Searches over the whole fleet in one decision, which bound its time when
+# many shapes are blocked. Jobs beyond the bound are looked at next time.
+_MAX_SEARCHES = 32
+# Blocked jobs are looked at again after this time even if nothing happened:
+# latest start times and reservations fall due by time alone.
+REVIEW_INTERVAL_MS = 1_000
 
-    job: model.Job
-    placement: model.Placement
-    since_ms: int
+_Shape = tuple[str, model.Shape, bool, model.Urgency]
 
 
-class Snapshot(NamedTuple):
-    """Everything that a decision depends on.
+class Outcome(NamedTuple):
+    """What to do now, and what the next decision has to know."""
 
-    Attributes:
-        now_ms: Unix time.
-        lists: The operators' lists in force.
-        workers: Workers that may be given new work, by id.
-        queued: Jobs that wait, in order of acceptance.
-        running: Jobs that hold accelerators, by job id.
-    """
+    decisions: list[Decision]
+    assignment: guarantees.Assignment
+    claims: dict[str, Claim]
 
-    now_ms: int
-    lists: model.Lists
-    workers: dict[str, model.Worker]
-    queued: list[model.Job]
-    running: dict[str, Running]
 
+class PolicyState:
+    """What a cell owner remembers between decisions.
 
-class Start(NamedTuple):
-    """Start a job on these workers."""
+    Attributes:
+        assignment: The assignment of guarantees in force.
+        claims: Workers promised to queued jobs.
+        usage: Decayed accelerator-seconds by account; None at first.
+        samples: Observed by declared run times, by account.
+        running: Running jobs of the last snapshot.
+        at_ms: Time of the last snapshot.
+    """
 
-    job_id: str
-    placement: model.Placement
+    def __init__(self) -> None:
+        self.assignment: guarantees.Assignment | None = None
+        self.claims: dict[str, Claim] = {}
+        self.usage: dict[str, float] | None = None
+        self.samples: dict[str, list[float]] = {}
+        self.running: dict[str, Running] = {}
+        self.at_ms = 0
 
 
-class Preempt(NamedTuple):
-    """Stop a job in bounded time; it is queued again."""
+class _Round:
+    """State of one decision."""
 
-    job_id: str
-    reason: str
+    def __init__(
+        self, snapshot: Snapshot, assignment: guarantees.Assignment
+    ) -> None:
+        self.snapshot = snapshot
+        self.ledger = ledgers.Ledger(
+            snapshot.workers,
+            guarantees.sum_pledges(snapshot.lists, assignment),
+        )
+        ledgers.fill_ledger(self.ledger, snapshot.running.values())
+        self.largest = max(
+            (worker.accelerators for worker in snapshot.workers.values()),
+            default=0,
+        )
+        usage = snapshot.usage
+        if usage is None:
+            usage = usages.estimate_usage(
+                snapshot.running.values(), snapshot.now_ms
+            )
+        self.usage = dict(usage)
+        self.decisions: list[Decision] = []
+        self.decided: set[str] = set()
+        self.claims: dict[str, Claim] = {}
+        self.holds: dict[str, model.Placement] = {}
+        self.failed: dict[_Shape, str] = {}
+        self.holding: set[tuple[str, model.Urgency]] = set()
+        self.searches = _MAX_SEARCHES
 
 
-class Blocked(NamedTuple):
-    """A job waits; `reason` says for what."""
+def decide(snapshot: Snapshot) -> list[Decision]:
+    """Return what to do now, from the snapshot alone."""
+    return plan(snapshot).decisions
 
-    job_id: str
-    reason: str
 
+def advance(state: PolicyState, snapshot: Snapshot) -> list[Decision]:
+    """Return what to do now; remember what the next decision needs."""
+    _observe(state, snapshot)
+    outcome = plan(
+        snapshot._replace(
+            usage=state.usage,
+            ratios={
+                account: runtimes.compute_ratio(samples)
+                for account, samples in state.samples.items()
+            },
+            assignment=state.assignment,
+            claims=state.claims,
+        )
+    )
+    state.assignment = outcome.assignment
+    state.claims = outcome.claims
+    return outcome.decisions
 
-Decision = Start | Preempt | Blocked
 
-
-def decide(snapshot: Snapshot) -> list[Decision]:
-    """Return what to do now: first come, first served, first fit."""
-    free = compute_free(snapshot)
-    decisions: list[Decision] = []
-    for job in snapshot.queued:
-        placement = _find_first_fit(job.spec.shape, snapshot.workers, free)
-        if placement is None:
-            decisions.append(Blocked(job.id, "no_capacity"))
-            continue
-        for part in placement:
-            free[part.worker_id] -= part.accelerators
-        decisions.append(Start(job.id, placement))
-    return decisions
+def plan(snapshot: Snapshot) -> Outcome:
+    """Return what to do now and what the next decision has to know."""
+    snapshot = snapshot._replace(lists=_drop_unknown_plans(snapshot.lists))
+    assignment = guarantees.plan_guarantees(
+        snapshot.lists,
+        snapshot.workers,
+        _sum_unstoppable(snapshot),
+        _get_valid_assignment(snapshot),
+    )
+    state = _Round(snapshot, assignment)
+    ledgers.hold(
+        state.ledger, guarantees.sum_pending(snapshot.lists, assignment)
+    )
+    queues = ordering.group_jobs(
+        snapshot.queued, snapshot.ratios, snapshot.now_ms
+    )
+    _honour_claims(state)
+    _serve_guarantees(state, queues)
+    for urgency in model.Urgency:
+        _apply_holds(state, urgency)
+        _serve_class(state, queues[urgency])
+    return Outcome(state.decisions, assignment, state.claims)
 
 
 def compute_free(snapshot: Snapshot) -> dict[str, int]:
@@ -83,22 +158,328 @@
     return free
 
 
-def _find_first_fit(
-    shape: model.Shape, workers: dict[str, model.Worker], free: dict[str, int]
-) -> model.Placement | None:
-    groups: dict[tuple[str, ...], list[str]] = {}
-    for worker in workers.values():
-        groups.setdefault(
-            guarantees.get_group(worker, shape.within), []
-        ).append(worker.id)
-    for members in groups.values():
-        placement: list[model.PartPlacement] = []
-        for worker_id in members:
-            fits = free[worker_id] // shape.accelerators
-            wanted = shape.parts - len(placement)
-            placement += [
-                model.PartPlacement(worker_id, shape.accelerators)
-            ] * min(fits, wanted)
-        if len(placement) == shape.parts:
-            return tuple(placement)
+def _observe(state: PolicyState, snapshot: Snapshot) -> None:
+    """Bring usage and run-time ratios up to the time of the snapshot."""
+    now_ms = snapshot.now_ms
+    running = snapshot.running
+    if state.usage is None:
+        state.usage = usages.estimate_usage(running.values(), now_ms)
+        state.samples = runtimes.list_overruns(running.values(), now_ms)
+    else:
+        state.usage = usages.advance_usage(
+            state.usage,
+            (state.running | running).values(),
+            max(0, now_ms - state.at_ms),
+            now_ms,
+        )
+        waiting = {job.id for job in snapshot.queued}
+        for job_id, entry in state.running.items():
+            if job_id in running or job_id in waiting or entry.stopping:
+                continue
+            declared_ms = max(1, entry.job.spec.expected_run_ms)
+            runtimes.add_sample(
+                state.samples.setdefault(entry.job.account, []),
+                max(0, now_ms - entry.since_ms) / declared_ms,
+            )
+    state.running = dict(running)
+    state.at_ms = now_ms
+
+
+def _drop_unknown_plans(lists: model.Lists) -> model.Lists:
+    """Leave out accounts whose plan is not in the list of plans."""
+    if all(account.plan in lists.plans for account in lists.accounts.values()):
+        return lists
+    return lists._replace(
+        accounts={
+            name: account
+            for name, account in lists.accounts.items()
+            if account.plan in lists.plans
+        }
+    )
+
+
+def _get_valid_assignment(
+    snapshot: Snapshot,
+) -> guarantees.Assignment | None:
+    """Return the assignment in force without guarantees since removed."""
+    if snapshot.assignment is None:
+        return None
+    accounts = snapshot.lists.accounts
+
+    def is_listed(key: guarantees.GuaranteeKey) -> bool:
+        return key.account in accounts and key.index < len(
+            model.get_plan(snapshot.lists, key.account).guarantees
+        )
+
+    assignment = snapshot.assignment
+    return assignment._replace(
+        assigned={
+            key: workers
+            for key, workers in assignment.assigned.items()
+            if is_listed(key)
+        }
+    )
+
+
+def _sum_unstoppable(snapshot: Snapshot) -> guarantees.Held:
+    """Return the accelerators of unstoppable work by worker and account."""
+    held: guarantees.Held = {}
+    if not any(plan.guarantees for plan in snapshot.lists.plans.values()):
+        return held
+    for entry in snapshot.running.values():
+        if entry.stopping or decisions.is_stoppable(entry.job):
+            continue
+        account = entry.job.account
+        for worker_id, accelerators in entry.placement:
+            by_account = held.setdefault(worker_id, {})
+            by_account[account] = by_account.get(account, 0) + accelerators
+    return held
+
+
+def _honour_claims(state: _Round) -> None:
+    """Start jobs on workers promised to them, or keep the promise."""
+    queued = {job.id: job for job in state.snapshot.queued}
+    for job_id, claim in state.snapshot.claims.items():
+        job = queued.get(job_id)
+        if job is None or not _is_possible(state, job, claim.placement):
+            continue
+        if claim.kind == "hold":
+            state.holds[job_id] = claim.placement
+            continue
+        if _get_plan_reason(state, job) is None:
+            _try_on(state, job, claim.placement, claim.kind)
+
+
+def _try_on(
+    state: _Round, job: model.Job, placement: model.Placement, kind: str
+) -> bool:
+    """Give a job these workers, now or once others have been stopped."""
+    for worker_id, wanted in _sum_by_worker(placement).items():
+        space = state.ledger.spaces[worker_id]
+        if ledgers.get_limit(space, job.account) < wanted:
+            return False
+    found = preemption.plan_on(
+        state.ledger, placement, preemption.make_rule(kind, job)
+    )
+    if found is None:
+        return False
+    _carry_out(state, job, found, kind)
+    return True
+
+
+def _is_possible(
+    state: _Round, job: model.Job, placement: model.Placement
+) -> bool:
+    """Return whether no worker is lost or guaranteed to others by now."""
+    for worker_id, wanted in _sum_by_worker(placement).items():
+        space = state.ledger.spaces.get(worker_id)
+        if space is None:
+            return False
+        own = space.pledged.get(job.account, 0)
+        others = sum(space.pledged.values()) - own
+        if others + wanted > space.worker.accelerators:
+            return False
+    return True
+
+
+def _sum_by_worker(placement: model.Placement) -> dict[str, int]:
+    amounts: dict[str, int] = {}
+    for worker_id, accelerators in placement:
+        amounts[worker_id] = amounts.get(worker_id, 0) + accelerators
+    return amounts
+
+
+def _carry_out(
+    state: _Round, job: model.Job, found: preemption.Plan, kind: str
+) -> None:
+    """Start a job, or stop what is in its way and promise it the workers."""
+    is_free = not found.victims and all(
+        state.ledger.spaces[worker_id].rooms[ledgers.Room.ANY] >= wanted
+        for worker_id, wanted in _sum_by_worker(found.placement).items()
+    )
+    if is_free:
+        _start(state, job, found.placement)
+        return
+    for victim in found.victims:
+        ledgers.mark_stopping(state.ledger, victim)
+        state.decisions.append(
+            Preempt(victim.job.id, f"preempted ({kind}) for {job.id}")
+        )
+    ledgers.claim(state.ledger, job, found.placement)
+    state.claims[job.id] = Claim(found.placement, kind)
+    _block(state, job, "waiting_for_preemption")
+
+
+def _start(state: _Round, job: model.Job, placement: model.Placement) -> None:
+    ledgers.take(state.ledger, job, placement)
+    state.decisions.append(Start(job.id, placement))
+    state.decided.add(job.id)
+
+
+def _block(state: _Round, job: model.Job, reason: str) -> None:
+    state.decisions.append(Blocked(job.id, reason))
+    state.decided.add(job.id)
+
+
+def _get_plan_reason(state: _Round, job: model.Job) -> str | None:
+    """Return why the plan keeps a job from starting, or None."""
+    lists = state.snapshot.lists
+    if job.account not in lists.accounts:
+        return "account_not_listed"
+    limit = model.get_plan(lists, job.account).max_accelerators
+    wanted = decisions.count_accelerators(job.spec.shape)
+    if wanted > limit:
+        return "never_fits"
+    if state.ledger.accounts.get(job.account, 0) + wanted > limit:
+        return "plan_limit"
     return None
+
+
+def _serve_guarantees(
+    state: _Round,
+    queues: dict[model.Urgency, dict[str, list[model.Job]]],
+) -> None:
+    """Start jobs within the guarantee of their account."""
+    for account in sorted(state.ledger.pledges):
+        failed: set[model.Shape] = set()
+        for urgency in model.Urgency:
+            for job in queues[urgency].get(account, ()):
+                if job.id in state.decided or job.spec.shape in failed:
+                    continue
+                if _get_plan_reason(state, job) is not None:
+                    continue
+                found = preemption.plan_reclaim(state.ledger, job)
+                if found is None:
+                    failed.add(job.spec.shape)
+                    continue
+                _carry_out(state, job, found, "reclaim")
+                ordering.charge_usage(
+                    state.usage, job, _estimate_run_ms(state, job)
+                )
+
+
+def _estimate_run_ms(state: _Round, job: model.Job) -> int:
+    return runtimes.estimate_run_ms(job, state.snapshot.ratios)
+
+
+def _apply_holds(state: _Round, urgency: model.Urgency) -> None:
+    """Keep reserved workers from unstoppable work of this class and below."""
+    waiting = {job.id: job for job in state.snapshot.queued}
+    for job_id, placement in state.holds.items():
+        job = waiting[job_id]
+        if job.spec.urgency is urgency and job_id not in state.decided:
+            ledgers.hold(state.ledger, _sum_by_worker(placement))
+
+
+def _serve_class(state: _Round, by_account: dict[str, list[model.Job]]) -> None:
+    lists = state.snapshot.lists
+    weights = {
+        account: model.get_plan(lists, account).weight
+        for account in by_account
+        if account in lists.accounts
+    }
+    fair = ordering.FairQueue(by_account, state.usage, weights)
+    while (job := fair.pop_job()) is not None:
+        if job.id in state.decided:
+            continue
+        if _serve_job(state, job):
+            fair.charge(job, _estimate_run_ms(state, job))
+
+
+def _serve_job(state: _Round, job: model.Job) -> bool:
+    """Decide on one job; return whether it takes part of the capacity."""
+    reserved = state.holds.pop(job.id, None)
+    if reserved is not None:
+        ledgers.hold(state.ledger, _sum_by_worker(reserved), -1)
+    reason = _get_plan_reason(state, job)
+    if reason is not None:
+        _block(state, job, reason)
+        return False
+    key = (
+        job.account,
+        job.spec.shape,
+        decisions.is_stoppable(job),
+        job.spec.urgency,
+    )
+    if reserved is None and key in state.failed:
+        if not _hold_workers(state, job, None):
+            _block(state, job, state.failed[key])
+        return False
+    found = placements.find_placement(state.ledger, job)
+    if found is not None:
+        _start(state, job, found)
+        return True
+    if reserved is not None and _try_on(state, job, reserved, "backfill"):
+        return True
+    if _preempt(state, job):
+        return True
+    if key not in state.failed:
+        state.failed[key] = _explain(state, job)
+    if not _hold_workers(state, job, reserved):
+        _block(state, job, state.failed[key])
+    return False
+
+
+def _preempt(state: _Round, job: model.Job) -> bool:
+    """Let a blocked job replace background work or move stoppable work."""
+    if state.searches <= 0:
+        return False
+    state.searches -= 1
+    if job.spec.urgency is model.Urgency.URGENT:
+        found = preemption.plan_urgent(state.ledger, job)
+        if found is not None:
+            _carry_out(state, job, found, "urgent")
+            return True
+    if decisions.count_accelerators(job.spec.shape) > 1:
+        found = preemption.plan_compaction(state.ledger, job)
+        if found is not None:
+            _carry_out(state, job, found, "compaction")
+            return True
+    return False
+
+
+def _hold_workers(
+    state: _Round, job: model.Job, reserved: model.Placement | None
+) -> bool:
+    """Reserve workers for a large job that has waited long.
+
+    One job of each account and class holds a reservation at a time, so that
+    a queue of large jobs does not keep the whole fleet from others.
+    """
+    holder = (job.account, job.spec.urgency)
+    waited_ms = state.snapshot.now_ms - job.accepted_ms
+    if (
+        holder in state.holding
+        or waited_ms < preemption.RESERVE_AFTER_MS
+        or decisions.count_accelerators(job.spec.shape) < state.largest
+    ):
+        return False
+    if reserved is None and state.searches > 0:
+        state.searches -= 1
+        reserved = preemption.plan_hold(
+            state.ledger, job, state.snapshot.ratios, state.snapshot.now_ms
+        )
+    if reserved is None:
+        return False
+    state.holding.add(holder)
+    ledgers.hold(state.ledger, _sum_by_worker(reserved))
+    state.claims[job.id] = Claim(reserved, "hold")
+    _block(state, job, "waiting_for_reserved_workers")
+    return True
+
+
+def _explain(state: _Round, job: model.Job) -> str:
+    """Return the reason code of a job for which there is no room."""
+    ledger = state.ledger
+    if not placements.fits_when_empty(ledger, job, beside_guarantees=False):
+        return "never_fits"
+    if decisions.is_stoppable(job):
+        return "no_capacity"
+    if not placements.fits_when_empty(ledger, job, beside_guarantees=True):
+        return "guarantee_reserved"
+    borrowed = job._replace(
+        spec=job.spec._replace(checkpointable=True, repeatable=True)
+    )
+    if placements.find_placement(ledger, borrowed) is None:
+        return "no_capacity"
+    return "guarantee_reserved" if ledger.pledges else "workers_reserved"
--- a/packages/daemon/src/cyclamenshelf_daemon/cellowner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/cellowner.py
@@ -439,15 +439,21 @@
 
 def _decide(owner: CellOwner) -> None:
     now = owner.context.clock.now_ms()
-    if not owner.changed or not owner.loaded or not _holds_lease(owner):
+    since_ms = now - owner.decided_at_ms
+    # Some reasons to wait end by time alone.
+    review = bool(owner.blocked) and since_ms >= policy.REVIEW_INTERVAL_MS
+    if not (owner.changed or review):
         return
-    if now - owner.decided_at_ms < _DECIDE_INTERVAL_MS:
+    if not owner.loaded or not _holds_lease(owner):
+        return
+    if since_ms < _DECIDE_INTERVAL_MS:
         return
     owner.changed = False
     owner.decided_at_ms = now
     _cancel_queued(owner)
     owner.blocked = {}
-    for decision in policy.decide(_make_snapshot(owner)):
+    state = vars(owner).setdefault("policy_state", policy.PolicyState())
+    for decision in policy.advance(state, _make_snapshot(owner)):
         if isinstance(decision, policy.Start):
             _start(owner, owner.jobs[decision.job_id], decision.placement)
         elif isinstance(decision, policy.Preempt):
@@ -459,8 +465,10 @@
 
 
 def _make_snapshot(owner: CellOwner) -> policy.Snapshot:
+    wall_ms = owner.context.clock.wall_ms()
+    unix_offset_ms = wall_ms - owner.context.clock.now_ms()
     return policy.Snapshot(
-        now_ms=owner.context.clock.wall_ms(),
+        now_ms=wall_ms,
         lists=owner.context.get_lists(),
         workers={
             worker_id: worker
@@ -478,7 +486,16 @@
         ),
         running={
             attempt.job.id: policy.Running(
-                attempt.job, attempt.job.placement, attempt.since_ms
+                attempt.job,
+                attempt.job.placement,
+                # An adopted attempt started under an earlier owner.
+                min(
+                    attempt.job.started_ms or wall_ms,
+                    attempt.since_ms + unix_offset_ms,
+                )
+                if attempt.phase is not Phase.STARTING
+                else attempt.since_ms + unix_offset_ms,
+                attempt.phase is Phase.STOPPING,
             )
             for attempt in owner.attempts.values()
         },
