--- a/packages/core/src/cyclamenshelf_core/policy.py
+++ b/packages/core/src/cyclamenshelf_core/policy.py
@@ -259,7 +259,9 @@
         if ledgers.get_limit(space, job.account) < wanted:
             return False
     found = preemption.plan_on(
-        state.ledger, placement, preemption.make_rule(kind, job)
+        state.ledger,
+        placement,
+        preemption.make_rule(kind, job, state.snapshot.now_ms),
     )
     if found is None:
         return False
@@ -348,7 +350,9 @@
                     continue
                 if _get_plan_reason(state, job) is not None:
                     continue
-                found = preemption.plan_reclaim(state.ledger, job)
+                found = preemption.plan_reclaim(
+                    state.ledger, job, state.snapshot.now_ms
+                )
                 if found is None:
                     failed.add(job.spec.shape)
                     continue
@@ -425,13 +429,14 @@
     if state.searches <= 0:
         return False
     state.searches -= 1
+    now_ms = state.snapshot.now_ms
     if job.spec.urgency is model.Urgency.URGENT:
-        found = preemption.plan_urgent(state.ledger, job)
+        found = preemption.plan_urgent(state.ledger, job, now_ms)
         if found is not None:
             _carry_out(state, job, found, "urgent")
             return True
     if decisions.count_accelerators(job.spec.shape) > 1:
-        found = preemption.plan_compaction(state.ledger, job)
+        found = preemption.plan_compaction(state.ledger, job, now_ms)
         if found is not None:
             _carry_out(state, job, found, "compaction")
             return True
--- a/packages/core/src/cyclamenshelf_core/preemption.py
+++ b/packages/core/src/cyclamenshelf_core/preemption.py
@@ -15,6 +15,9 @@
 
 # A blocked large job gets a reservation when it has waited this long.
 RESERVE_AFTER_MS = 60_000
+# A job that has just started is not moved: without this, the next decision
+# stopped jobs that the last one had started.
+_MOVE_AFTER_MS = 10_000
 
 _RANKS = {urgency: rank for rank, urgency in enumerate(model.Urgency)}
 
@@ -26,7 +29,9 @@
     victims: tuple[decisions.Running, ...]
 
 
-def plan_reclaim(ledger: ledgers.Ledger, job: model.Job) -> Plan | None:
+def plan_reclaim(
+    ledger: ledgers.Ledger, job: model.Job, now_ms: int
+) -> Plan | None:
     """Return how a gang gets into its account's guarantee, or None.
 
     None means that the gang is larger than what is left of the guarantee.
@@ -41,25 +46,30 @@
         left = space.pledged[account] - space.used.get(account, 0)
         return max(0, left)
 
-    return _plan(groups.values(), job, get_limit, make_rule("reclaim", job))
+    return _plan(
+        groups.values(), job, get_limit, make_rule("reclaim", job, now_ms)
+    )
 
 
-def plan_urgent(ledger: ledgers.Ledger, job: model.Job) -> Plan | None:
+def plan_urgent(
+    ledger: ledgers.Ledger, job: model.Job, now_ms: int
+) -> Plan | None:
     """Return how an urgent gang replaces background work, or None."""
     return _plan(
         ledgers.list_groups(ledger, job.spec.shape.within),
         job,
         lambda space: ledgers.get_limit(space, job.account),
-        make_rule("urgent", job),
+        make_rule("urgent", job, now_ms),
     )
 
 
-def make_rule(kind: str, job: model.Job) -> IsEligible:
+def make_rule(kind: str, job: model.Job, now_ms: int) -> IsEligible:
     """Return which running jobs a queued job may stop.
 
     Args:
         kind: The kind of a `decisions.Claim`.
         job: The queued job.
+        now_ms: Unix time.
     """
     if kind == "reclaim":
         return lambda space, victim: (
@@ -73,6 +83,8 @@
     def is_eligible(space: ledgers.Space, victim: decisions.Running) -> bool:
         if _RANKS[victim.job.spec.urgency] < lowest:
             return False
+        if kind == "compaction" and now_ms - victim.since_ms < _MOVE_AFTER_MS:
+            return False
         # Two gangs with reservations would otherwise stop each other in turn.
         if kind == "backfill" and not (
             victim.since_ms >= job.accepted_ms + RESERVE_AFTER_MS
@@ -94,7 +106,9 @@
     return None if victims is None else Plan(placement, victims)
 
 
-def plan_compaction(ledger: ledgers.Ledger, job: model.Job) -> Plan | None:
+def plan_compaction(
+    ledger: ledgers.Ledger, job: model.Job, now_ms: int
+) -> Plan | None:
     """Return how a gang gets room by moving stoppable jobs, or None.
 
     Every job that is stopped has a place elsewhere right now.
@@ -108,7 +122,7 @@
         ledgers.list_groups(ledger, shape.within),
         job,
         lambda space: ledgers.get_limit(space, job.account),
-        make_rule("compaction", job),
+        make_rule("compaction", job, now_ms),
     )
     if plan is None or not _can_move(ledger, job, plan):
         return None
