Keep a thread for health checks and name damaged rows

Cause: writes of operators in a slow store could hold all threads of the operators' listener, so that the balancer would take the host for dead; a config/current row of another form was shown as if there were no lists. Ruled out: a listener of its own for health checks, as settings and firewalls would need one more port. Change: requests with a credential take at most all threads but one, more are refused with host_busy, which the command line tries elsewhere; the default of operator_threads is 8. A damaged current row is answered with its problems, and the lists in force are shown instead.

--- a/packages/cli/src/cyclamenshelf_cli/config.py
+++ b/packages/cli/src/cyclamenshelf_cli/config.py
@@ -80,8 +80,8 @@
     _write_files(directory, wanted, current["version"])
     if current["source"] == "memory":
         print(
-            "cyclamenshelf: the store does not answer; these are the lists "
-            "in force on the host",
+            "cyclamenshelf: the store gave no lists; these are the ones in "
+            "force on the host",
             file=session.output.err,
         )
     if session.output.json:
--- a/packages/core/src/cyclamenshelf_core/errors.py
+++ b/packages/core/src/cyclamenshelf_core/errors.py
@@ -295,6 +295,13 @@
         self.operator_url = operator_url
 
 
+class HostBusyError(RequestRefusedError):
+    """Too many requests of operators are in progress on the host."""
+
+    code = "host_busy"
+    status = 503
+
+
 class Problem(NamedTuple):
     """One thing that is wrong in a document.
 
--- a/packages/daemon/src/cyclamenshelf_daemon/configurationhistory.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/configurationhistory.py
@@ -15,11 +15,18 @@
     """Return the current stored lists, or None before the first.
 
     Raises:
+        errors.ListsRefusedError: The row is not one that this project wrote.
         errors.StoreUnavailableError: The table service does not answer.
     """
-    return _read_stored(table, [configurationrows.CURRENT_KEY]).get(
-        configurationrows.CURRENT_KEY
-    )
+    key = configurationrows.CURRENT_KEY
+    row = tableclient.read_rows(table, [key]).get(key)
+    if row is None:
+        return None
+    try:
+        return configurationrows.decode_stored(key, row.value)
+    except errors.InvalidListsError as error:
+        problems = tuple(map(str, error.problems))
+        raise errors.ListsRefusedError(problems, ()) from error
 
 
 def read_version(
@@ -49,6 +56,7 @@
         limit: The most versions to return, up to `MAX_LISTED`.
 
     Raises:
+        errors.ListsRefusedError: The current row is damaged.
         errors.StoreUnavailableError: The table service does not answer.
     """
     if before is None:
--- a/packages/daemon/src/cyclamenshelf_daemon/daemon.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/daemon.py
@@ -118,6 +118,7 @@
         settings.cell,
         settings.operator_port,
         settings.operator_token_sha256,
+        threading.BoundedSemaphore(settings.operator_threads - 1),
         lists,
         host_list,
         table,
--- a/packages/daemon/src/cyclamenshelf_daemon/operatorapi.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/operatorapi.py
@@ -15,6 +15,7 @@
 from cyclamenshelf_daemon import webserver
 
 OperatorContext = operatorcontext.OperatorContext
+_BUSY_RETRY_AFTER_MS = 2_000
 
 
 def make_handler(
@@ -102,7 +103,7 @@
     def handle_request(request: webserver.Request) -> webserver.Response:
         try:
             _check_credential(context, request)
-            return handle(context, request)
+            return _handle_with_thread(context, request, handle)
         except errors.RequestRefusedError as refusal:
             logs.log_event(
                 "operator_request_refused",
@@ -115,6 +116,27 @@
     return handle_request
 
 
+def _handle_with_thread(
+    context: operatorcontext.OperatorContext,
+    request: webserver.Request,
+    handle: operatorcontext.Handle,
+) -> webserver.Response:
+    """Answer a request unless that would leave no thread to health checks.
+
+    A write takes up to 20 s while the store is slow. If such writes held all
+    threads, the balancer would take the host for dead.
+    """
+    if not context.free_threads.acquire(blocking=False):
+        raise errors.HostBusyError(
+            "too many requests of operators are in progress",
+            retry_after_ms=_BUSY_RETRY_AFTER_MS,
+        )
+    try:
+        return handle(context, request)
+    finally:
+        context.free_threads.release()
+
+
 def _check_credential(
     context: operatorcontext.OperatorContext, request: webserver.Request
 ) -> None:
--- a/packages/daemon/src/cyclamenshelf_daemon/operatorconfig.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/operatorconfig.py
@@ -23,11 +23,11 @@
 def get_config(
     context: operatorcontext.OperatorContext, request: webserver.Request
 ) -> webserver.Response:
-    """Return the current lists; in a store outage, those in force here."""
+    """Return the current lists, or those in force if they are not readable."""
     try:
         stored = configurationhistory.read_current(context.table)
         source = "store"
-    except errors.StoreUnavailableError as error:
+    except (errors.StoreUnavailableError, errors.ListsRefusedError) as error:
         stored = context.configuration.stored
         source = "memory"
         if stored is None:
--- a/packages/daemon/src/cyclamenshelf_daemon/operatorcontext.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/operatorcontext.py
@@ -24,6 +24,8 @@
     Attributes:
         operator_port: Port of this interface, the same on all entry hosts.
         token_sha256: SHA-256 of the operators' bearer token, in hex.
+        free_threads: Threads that requests with a credential may take; one
+            less than there are, so that health checks are always answered.
         draining: Set while the host is about to stop.
         get_owner: Returns the cell owner if this process is it.
         get_members: Returns the known entry hosts; None while not known.
@@ -35,6 +37,7 @@
     cell: str
     operator_port: int
     token_sha256: str
+    free_threads: threading.Semaphore
     configuration: configuration.Configuration
     host_list: hostlist.HostList
     table: tableclient.TableClient
--- a/packages/daemon/src/cyclamenshelf_daemon/settings.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/settings.py
@@ -53,7 +53,7 @@
     hosts_url: str
     peer_key_file: str
     operator_token_sha256: str
-    operator_threads: int = 4
+    operator_threads: int = 8
     log_level: str = "INFO"
 
 
@@ -200,7 +200,8 @@
     "operator_token_sha256": _make_text_reader(
         _SHA256.fullmatch, "64 lower-case hex digits", hidden=True
     ),
-    "operator_threads": _make_int_reader(1, 64),
+    # One is kept for health checks.
+    "operator_threads": _make_int_reader(2, 64),
     "log_level": lambda item, problems: documents.read_choice(
         item, _LOG_LEVELS, problems
     ),
--- a/testing/daemon/test_operatorapi.py
+++ b/testing/daemon/test_operatorapi.py
@@ -43,6 +43,7 @@
                 "cell",
                 7001,
                 hashlib.sha256(TOKEN.encode()).hexdigest(),
+                threading.BoundedSemaphore(1),
                 self.lists,
                 self.host_list,
                 self.fake.client,
@@ -130,6 +131,50 @@
     assert host.send("GET", path, token="")[0] == 200
 
 
+def test_slow_requests_of_operators_leave_a_thread_to_health_checks(host):
+    inner = []
+
+    def ask_meanwhile():
+        inner.append(host.ask("GET", "/v1/status"))
+        inner.append(host.send("GET", "/healthz", token=""))
+
+    host.fake.before_answer = ask_meanwhile
+    assert host.send("GET", "/v1/jobs")[0] == 200
+    (busy, answer), (healthy, _) = inner
+    assert (busy, answer["code"], healthy) == (503, "host_busy", 200)
+    # The thread is free again, also after a refusal.
+    assert host.send("GET", "/v1/jobs/j-9")[0] == 404
+    assert host.send("GET", "/v1/status")[0] == 200
+
+
+def test_lists_that_do_not_parse_can_be_replaced(host):
+    host.put(0, 1)
+    for key in ("config/current", "config/history/00000002"):
+        value = {"version": 2, "plans": "[", "allowances": "["}
+        host.store(key, value | {"author": "x", "time_ms": 0})
+    configuration.refresh(host.lists)
+    status = host.ask("GET", "/v1/status")[1]
+    assert status["configuration_version"] == 1
+    assert status["configuration_problems"]
+    assert host.put(2, 3)[1]["version"] == 3
+    status = host.ask("GET", "/v1/status")[1]
+    assert status["configuration_version"] == 3
+    assert status["configuration_problems"] == []
+
+
+def test_row_of_another_form_is_named_and_never_written_over(host):
+    host.put(0, 1)
+    host.store("config/current", {"version": "2"})
+    row = host.fake.table.rows["config/current"]
+    answer = host.ask("GET", "/v1/config")[1]
+    assert (answer["version"], answer["source"]) == (1, "memory")
+    status, answer = host.put(1, 2)
+    assert status == 422
+    assert answer["problems"][0].startswith("config/current:1: version: ")
+    assert host.send("GET", "/v1/config/history")[0] == 422
+    assert host.fake.table.rows["config/current"] == row
+
+
 def test_config_is_written_read_and_kept(host):
     status, answer = host.put(0, 1)
     assert (status, answer["version"], answer["changed"]) == (200, 1, True)
--- a/testing/daemon/test_settings.py
+++ b/testing/daemon/test_settings.py
@@ -57,7 +57,7 @@
         if not line.startswith(("operator_threads", "log_level"))
     )
     parsed = settings.parse_settings("", text)
-    assert (parsed.operator_threads, parsed.log_level) == (4, "INFO")
+    assert (parsed.operator_threads, parsed.log_level) == (8, "INFO")
 
 
 def test_every_problem_is_named_with_its_line():
@@ -84,7 +84,7 @@
         ("host_id: entry-1", "host_id: a/b"),
         ("listen_host: 10.2.0.21", "listen_host: localhost"),
         ("operator_port: 7001", "operator_port: 7000"),
-        ("operator_threads: 4", "operator_threads: '4'"),
+        ("operator_threads: 8", "operator_threads: '8'"),
         ("log_level: INFO", "log_level: LOUD"),
         ("http://10.0.0.10:8080", "10.0.0.10:8080"),
         ("/etc/cyclamenshelf/peer.key", "''"),
