Drop payloads when operators list jobs

Cause: listing a full queue kept the payloads of all jobs in memory at once. Ruled out: a limit on the jobs that are read, as use and guarantees are sums over all of them. Conclusion: memory no longer grows with the payloads.

--- a/packages/daemon/src/cyclamenshelf_daemon/operatorjobs.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/operatorjobs.py
@@ -134,12 +134,26 @@
             "job/" + row.key.removeprefix(prefix)
             for row in tableclient.scan_rows(context.table, prefix)
         ]
-        rows = tableclient.read_rows(context.table, keys)
+        jobs: list[model.Job] = []
+        for start in range(0, len(keys), tableclient.MAX_ROWS):
+            chunk = keys[start : start + tableclient.MAX_ROWS]
+            rows = tableclient.read_rows(context.table, chunk)
+            jobs += [_decode_without_payload(row) for row in rows.values()]
     except errors.StoreUnavailableError as error:
         raise errors.StoreDownError(
             str(error), retry_after_ms=_RETRY_AFTER_MS
         ) from error
-    return [jobrows.decode_job(row.value) for row in rows.values()]
+    return jobs
+
+
+def _decode_without_payload(row: tableclient.Row) -> model.Job:
+    """Return a job whose payload is dropped.
+
+    The payloads of a full queue would not fit into the memory of an entry
+    host, and operators are not shown them.
+    """
+    job = jobrows.decode_job(row.value)
+    return job._replace(spec=job.spec._replace(payload=None))
 
 
 def _explain_from_row(
