--- a/packages/core/src/cyclamenshelf_core/guarantees.py
+++ b/packages/core/src/cyclamenshelf_core/guarantees.py
@@ -53,7 +53,8 @@
     Attributes:
         held: Accelerators of work that cannot be stopped.
         pledged: Accelerators of the guarantees placed so far.
-        taken: Sum over accounts of the larger of held and pledged.
+        taken: Sum over accounts of the larger of held and pledged; only of
+            the workers looked at so far.
         nodes: Nodes that the search may still visit.
     """
 
@@ -63,10 +64,7 @@
         self.workers = workers
         self.held = held
         self.pledged: Held = {}
-        self.taken = {
-            worker_id: sum(held.get(worker_id, {}).values())
-            for worker_id in workers
-        }
+        self.taken: dict[str, int] = {}
         self.nodes = nodes
 
 
@@ -217,10 +215,18 @@
     """Return what can still be pledged to the account on a worker."""
     held = table.held.get(worker_id, {}).get(account, 0)
     pledged = table.pledged.get(worker_id, {}).get(account, 0)
-    others = table.taken[worker_id] - max(held, pledged)
+    others = _get_taken(table, worker_id) - max(held, pledged)
     return table.workers[worker_id].accelerators - others - pledged
 
 
+def _get_taken(table: _Table, worker_id: str) -> int:
+    taken = table.taken.get(worker_id)
+    if taken is None:
+        taken = sum(table.held.get(worker_id, {}).values())
+        table.taken[worker_id] = taken
+    return taken
+
+
 def _pledge(
     table: _Table, request: _Request, chosen: tuple[str, ...], sign: int = 1
 ) -> None:
@@ -231,7 +237,9 @@
         before = by_account.get(account, 0)
         after = before + sign * request.guarantee.accelerators
         by_account[account] = after
-        table.taken[worker_id] += max(held, after) - max(held, before)
+        taken = _get_taken(table, worker_id)
+        change = max(held, after) - max(held, before)
+        table.taken[worker_id] = taken + change
 
 
 def _search(
--- a/packages/core/src/cyclamenshelf_core/ledger.py
+++ b/packages/core/src/cyclamenshelf_core/ledger.py
@@ -86,6 +86,7 @@
     """All workers, with racks indexed by their room in total.
 
     Attributes:
+        largest: Accelerators of the largest worker.
         buckets: By `Room`, the racks with each total; dictionaries because
             they keep a reproducible order.
         pledged: Guaranteed accelerators by worker and account.
@@ -97,6 +98,9 @@
 
     def __init__(self, workers: dict[str, model.Worker]) -> None:
         self.workers = dict(workers)
+        self.largest = max(
+            (worker.accelerators for worker in workers.values()), default=0
+        )
         self.spaces: dict[str, Space] = {}
         self.racks: dict[tuple[str, ...], Rack] = {}
         self.pledged: guarantees.Held = {}
@@ -132,11 +136,16 @@
     """Enter the jobs that started or changed and remove those that left."""
     entered = ledger.entered
     touched: dict[str, Space] = {}
-    for job_id in [job_id for job_id in entered if job_id not in running]:
+    for job_id in sorted(entered.keys() - running.keys()):
         _move(ledger, entered.pop(job_id), -1, touched)
-    for job_id, entry in running.items():
-        known = entered.get(job_id)
-        if known is entry or known == entry:
+    changed = [
+        job_id
+        for job_id, entry in running.items()
+        if entered.get(job_id) is not entry
+    ]
+    for job_id in changed:
+        entry, known = running[job_id], entered.get(job_id)
+        if known == entry:
             continue
         if known is not None:
             _move(ledger, known, -1, touched)
@@ -170,7 +179,7 @@
 def sum_unstoppable(ledger: Ledger) -> guarantees.Held:
     """Return the accelerators of unstoppable work by worker and account."""
     return {
-        worker_id: dict(space.firm)
+        worker_id: space.firm
         for worker_id, space in ledger.spaces.items()
         if space.firm
     }
--- a/packages/core/src/cyclamenshelf_core/ordering.py
+++ b/packages/core/src/cyclamenshelf_core/ordering.py
@@ -72,7 +72,8 @@
 
     def get_share(self, account: str) -> float:
         """Return the account's usage by its weight."""
-        return self.usage.get(account, 0.0) / self.weights.get(account, 1)
+        weight = max(1, self.weights.get(account, 1))
+        return self.usage.get(account, 0.0) / weight
 
     def pop_job(self) -> model.Job | None:
         """Return the next job of the account with the least share."""
--- a/packages/core/src/cyclamenshelf_core/policy.py
+++ b/packages/core/src/cyclamenshelf_core/policy.py
@@ -77,10 +77,6 @@
     def __init__(self, snapshot: Snapshot, ledger: ledgers.Ledger) -> None:
         self.snapshot = snapshot
         self.ledger = ledger
-        self.largest = max(
-            (worker.accelerators for worker in snapshot.workers.values()),
-            default=0,
-        )
         usage = snapshot.usage
         if usage is None:
             usage = usages.estimate_usage(
@@ -199,8 +195,9 @@
             state.usage, state.held, max(0, now_ms - state.at_ms)
         )
         waiting = {job.id for job in snapshot.queued}
-        for job_id, entry in state.running.items():
-            if job_id in running or job_id in waiting or entry.stopping:
+        for job_id in sorted(state.running.keys() - running.keys()):
+            entry = state.running[job_id]
+            if job_id in waiting or entry.stopping:
                 continue
             declared_ms = max(1, entry.job.spec.expected_run_ms)
             runtimes.add_sample(
@@ -467,7 +464,7 @@
     if (
         holder in state.holding
         or waited_ms < preemption.RESERVE_AFTER_MS
-        or decisions.count_accelerators(job.spec.shape) < state.largest
+        or decisions.count_accelerators(job.spec.shape) < state.ledger.largest
     ):
         return False
     if reserved is None and state.searches > 0:
