Hold the cell lease through lost answers and slow tables

Cause: a renewal with a shorter ttl that took effect without an answer left the holder with its earlier, longer proof. A renewal of unknown outcome also made the next one meet an unknown version, which was taken for a takeover by another host; a lease that had lapsed in an outage always cost a new epoch; a takeover always began with a ttl of 3 s; an unexpected error ended the lease thread.

Ruled out: clock arithmetic of the tenure module; it holds its own test.

Change: the tenure is shortened before a renewal with a shorter ttl is sent. On a conflict the row is read, and its version taken if it is still this tenure's. A lapsed lease is renewed like any other, since the write is conditional on the row. The interval counts from the send. `Tenure.given_up` ends a tenure whose owner cannot go on, and the lease is released after the owner has stopped. Threads run their work through `supervision.run_logged`.

--- a/packages/daemon/src/cyclamenshelf_daemon/celllease.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/celllease.py
@@ -12,10 +12,17 @@
 from cyclamenshelf_core import errors
 from cyclamenshelf_core import tenure as lease_times
 from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon import supervision
 from cyclamenshelf_daemon import tableclient
 
 _POLL_INTERVAL_MS = 300
 _ACQUIRE_TIMEOUT_MS = 2_000
+# A renewal may take as long as the longest lease provides for. One send waits
+# less while the lease is short, so that a lost packet does not cost the lease.
+_RENEW_TIMEOUT_MS = lease_times.MAX_TTL_MS // 4
+_SHORTEST_SEND_MS = 2_000
+# After giving up a tenure, other hosts get this long to take the cell.
+_GIVEN_UP_PAUSE_MS = 5_000
 
 
 class Tenure:
@@ -28,6 +35,7 @@
         ttl_ms: Length of the lease as last written.
         valid_until_ms: Monotonic time until which the lease is proved.
         predecessors: Earlier holders that may still renew task leases.
+        given_up: Set when the owner cannot go on; the lease is then released.
     """
 
     def __init__(
@@ -48,6 +56,7 @@
             sent_at_ms, ttl_ms
         )
         self.predecessors = predecessors
+        self.given_up = threading.Event()
 
 
 class CellLease(NamedTuple):
@@ -56,7 +65,8 @@
     Attributes:
         holder: Host id and incarnation of this process.
         on_acquired: Called with each new tenure.
-        on_superseded: Called when another holder has taken the cell.
+        on_superseded: Called when the tenure has ended, before the lease is
+            released where another holder has not taken it already.
         stopping: Set to release the lease and end the thread.
     """
 
@@ -103,33 +113,40 @@
 
 def _run_lease(lease: CellLease) -> None:
     seen = _Seen()
-    last: Tenure | None = None
     while not lease.stopping.is_set():
-        tenure = _try_acquire(lease, seen, last)
-        if tenure is None:
-            lease.stopping.wait(_POLL_INTERVAL_MS / 1000)
-            continue
-        last = tenure
-        logs.log_event("cell_acquired", cell=lease.cell, epoch=tenure.epoch)
+        supervision.run_logged("cell_lease_failed", _hold_once, lease, seen)
+        lease.stopping.wait(_POLL_INTERVAL_MS / 1000)
+
+
+def _hold_once(lease: CellLease, seen: _Seen) -> None:
+    """Try to take the lease; if taken, hold it until the tenure ends."""
+    tenure = _try_acquire(lease, seen)
+    if tenure is None:
+        return
+    logs.log_event("cell_acquired", cell=lease.cell, epoch=tenure.epoch)
+    held = True
+    try:
         lease.on_acquired(tenure)
-        _keep_renewing(lease, tenure)
-    if last is not None:
-        _release(lease, last)
+        held = _keep_renewing(lease, tenure)
+    finally:
+        lease.on_superseded()
+        if held:
+            _release(lease, tenure)
+        logs.log_event("cell_lease_ended", cell=lease.cell, epoch=tenure.epoch)
+    if held:
+        lease.stopping.wait(_GIVEN_UP_PAUSE_MS / 1000)
 
 
-def _try_acquire(
-    lease: CellLease, seen: _Seen, last: Tenure | None
-) -> Tenure | None:
+def _try_acquire(lease: CellLease, seen: _Seen) -> Tenure | None:
     """Take the lease if it is free or lapsed; return the new tenure."""
     lease_key, epoch_key = f"lease/{lease.cell}", f"epoch/{lease.cell}"
+    sent_at_ms = lease.client.clock.now_ms()
     try:
         rows = tableclient.read_rows(lease.client, [lease_key, epoch_key])
     except errors.StoreUnavailableError:
         return None
     row = rows.get(lease_key)
     epoch_row = rows.get(epoch_key)
-    if row is not None and last is not None and row.value["epoch"] > last.epoch:
-        lease.on_superseded()
     if row is not None and not _is_free(lease, row, seen):
         return None
     value = {"epoch": 0, "holder": "", "predecessors": []}
@@ -142,6 +159,7 @@
             lease_key: row.version if row else 0,
             epoch_key: epoch_row.version if epoch_row else 0,
         },
+        lease_times.choose_ttl(lease.client.clock.now_ms() - sent_at_ms),
     )
 
 
@@ -158,7 +176,10 @@
 
 
 def _write_takeover(
-    lease: CellLease, value: dict[str, Any], checks: dict[str, int]
+    lease: CellLease,
+    value: dict[str, Any],
+    checks: dict[str, int],
+    ttl_ms: int,
 ) -> Tenure | None:
     clock = lease.client.clock
     epoch = value["epoch"] + 1
@@ -166,7 +187,6 @@
     if value["holder"] and not value.get("released"):
         predecessors.add(value["holder"])
     predecessors.discard(lease.holder)
-    ttl_ms = lease_times.DEFAULT_TTL_MS
     sent_at_ms = clock.now_ms()
     row = _make_lease_row(lease, epoch, ttl_ms, sorted(predecessors))
     lease_key, epoch_key = checks
@@ -206,72 +226,107 @@
     }
 
 
-def _keep_renewing(lease: CellLease, tenure: Tenure) -> None:
-    """Renew until the lease cannot be proved or the process stops."""
+def _keep_renewing(lease: CellLease, tenure: Tenure) -> bool:
+    """Renew until the tenure ends; return whether the row may still be held.
+
+    A lease that lapsed while the table was unreachable is renewed like any
+    other: the write is conditional on the row, so it succeeds only if no
+    other holder has taken the cell since.
+    """
     clock = lease.client.clock
-    while not lease.stopping.wait(lease_times.RENEW_INTERVAL_MS / 1000):
+    wait_ms = lease_times.RENEW_INTERVAL_MS
+    while not lease.stopping.wait(wait_ms / 1000):
+        if tenure.given_up.is_set():
+            return True
         sent_at_ms = clock.now_ms()
-        if sent_at_ms >= tenure.valid_until_ms:
-            break
-        try:
-            _renew(lease, tenure, sent_at_ms)
-        except errors.WriteConflictError:
-            tenure.valid_until_ms = 0
-            lease.on_superseded()
-            break
-        except errors.StoreError as error:
-            logs.log_event(
-                "cell_renewal_failed",
-                "WARNING",
-                cell=lease.cell,
-                epoch=tenure.epoch,
-                detail=error,
-            )
-    logs.log_event("cell_lease_ended", cell=lease.cell, epoch=tenure.epoch)
-
-
-def _renew(lease: CellLease, tenure: Tenure, sent_at_ms: int) -> None:
+        if not renew_once(lease, tenure):
+            return False
+        spent_ms = clock.now_ms() - sent_at_ms
+        wait_ms = max(0, lease_times.RENEW_INTERVAL_MS - spent_ms)
+    return True
+
+
+def renew_once(lease: CellLease, tenure: Tenure) -> bool:
+    """Try to renew; return whether the cell is not known to be lost."""
     clock = lease.client.clock
-    version = tableclient.commit_transaction(
-        lease.client,
-        tableclient.Transaction(
-            {f"lease/{lease.cell}": tenure.lease_version},
-            {
-                f"lease/{lease.cell}": _make_lease_row(
-                    lease,
-                    tenure.epoch,
-                    tenure.ttl_ms,
-                    list(tenure.predecessors),
-                )
-            },
-        ),
-        tenure.valid_until_ms,
+    sent_at_ms = clock.now_ms()
+    try:
+        renew(lease, tenure)
+    except errors.WriteConflictError:
+        if not _take_version(lease, tenure):
+            tenure.valid_until_ms = 0
+            return False
+    except errors.StoreError as error:
+        logs.log_event(
+            "cell_renewal_failed",
+            "WARNING",
+            cell=lease.cell,
+            epoch=tenure.epoch,
+            detail=error,
+        )
+    tenure.ttl_ms = lease_times.choose_ttl(clock.now_ms() - sent_at_ms)
+    return True
+
+
+def renew(lease: CellLease, tenure: Tenure) -> None:
+    """Write the lease row once more and extend the tenure by its ttl.
+
+    Raises:
+        errors.WriteConflictError: The row is not as this holder last knew it.
+        errors.StoreError: Not written, or the outcome is unknown.
+    """
+    sent_at_ms = lease.client.clock.now_ms()
+    ttl_ms = tenure.ttl_ms
+    valid_until_ms = lease_times.compute_valid_until(sent_at_ms, ttl_ms)
+    # The write may take effect without an answer. A challenger then waits for
+    # the ttl of that row, which may be shorter than the lease proved before.
+    tenure.valid_until_ms = min(tenure.valid_until_ms, valid_until_ms)
+    tenure.lease_version = _write_row(lease, tenure, ttl_ms)
+    tenure.valid_until_ms = valid_until_ms
+
+
+def _write_row(
+    lease: CellLease, tenure: Tenure, ttl_ms: int, released: bool = False
+) -> int:
+    key = f"lease/{lease.cell}"
+    row = _make_lease_row(
+        lease, tenure.epoch, ttl_ms, list(tenure.predecessors), released
     )
-    tenure.lease_version = version
-    tenure.valid_until_ms = lease_times.compute_valid_until(
-        sent_at_ms, tenure.ttl_ms
+    return tableclient.commit_transaction(
+        lease.client,
+        tableclient.Transaction({key: tenure.lease_version}, {key: row}),
+        lease.client.clock.now_ms() + _RENEW_TIMEOUT_MS,
+        max(_SHORTEST_SEND_MS, ttl_ms // 4),
     )
-    tenure.ttl_ms = lease_times.choose_ttl(clock.now_ms() - sent_at_ms)
+
+
+def _take_version(lease: CellLease, tenure: Tenure) -> bool:
+    """Return whether the row is this tenure's, and take its version.
+
+    An earlier write whose answer was lost leaves the row of this tenure at a
+    version that the holder does not know.
+    """
+    key = f"lease/{lease.cell}"
+    try:
+        row = tableclient.read_rows(lease.client, [key]).get(key)
+    except errors.StoreUnavailableError:
+        return True  # The next renewal meets the same conflict.
+    if row is None or (row.value["holder"], row.value["epoch"]) != (
+        lease.holder,
+        tenure.epoch,
+    ):
+        return False
+    tenure.lease_version = row.version
+    return True
 
 
 def _release(lease: CellLease, tenure: Tenure) -> None:
     tenure.valid_until_ms = 0
     try:
-        tableclient.commit_transaction(
-            lease.client,
-            tableclient.Transaction(
-                {f"lease/{lease.cell}": tenure.lease_version},
-                {
-                    f"lease/{lease.cell}": _make_lease_row(
-                        lease,
-                        tenure.epoch,
-                        tenure.ttl_ms,
-                        list(tenure.predecessors),
-                        released=True,
-                    )
-                },
-            ),
-            lease.client.clock.now_ms() + _ACQUIRE_TIMEOUT_MS,
-        )
+        try:
+            _write_row(lease, tenure, tenure.ttl_ms, released=True)
+        except errors.WriteConflictError:
+            if _take_version(lease, tenure):
+                _write_row(lease, tenure, tenure.ttl_ms, released=True)
     except (errors.WriteConflictError, errors.StoreError) as error:
         logs.log_event("cell_release_failed", "WARNING", detail=error)
