--- a/packages/daemon/src/cyclamenshelf_daemon/acceptance.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/acceptance.py
@@ -18,7 +18,7 @@
 from cyclamenshelf_daemon import tableclient
 
 MAX_KEY_LENGTH = 200
-_COMMIT_TIMEOUT_S = 20
+_JOURNAL_TRIES = 3
 _RETRY_AFTER_MS = 2_000
 
 
@@ -64,7 +64,6 @@
         )
     wall_ms = context.clock.wall_ms()
     spec = jobspec.parse_job_spec(body, wall_ms)
-    _check_fits(context, account, spec.shape)
     job = model.Job(
         id=jobrows.make_job_id(account, key),
         account=account,
@@ -74,6 +73,16 @@
         state=model.JobState.QUEUED,
         accepted_ms=wall_ms,
     )
+    try:
+        check_fits(
+            context.get_lists(),
+            context.host_list.hosts.workers,
+            account,
+            spec.shape,
+        )
+    except errors.NeverFitsError as refusal:
+        # The lists may have changed since the key was first used.
+        return Accepted(_find_first(context, job, refusal), journaled=False)
     accepted = _store_job(context, job)
     logs.log_event(
         "job_accepted",
@@ -93,10 +102,9 @@
     """
     key = f"cancel/{job.cell}/{job.id}"
     try:
-        groupcommit.submit_transaction(
-            context.committer,
-            tableclient.Transaction({key: 0}, {key: {}}),
-        ).result(timeout=_COMMIT_TIMEOUT_S)
+        groupcommit.commit(
+            context.committer, tableclient.Transaction({key: 0}, {key: {}})
+        )
     except errors.WriteConflictError:
         pass  # The same wish is stored already.
     except errors.StoreError as error:
@@ -109,18 +117,27 @@
     context.on_changed("cancel", job.id)
 
 
-def _check_fits(
-    context: AcceptanceContext, account: str, shape: model.Shape
+def check_fits(
+    lists: model.Lists,
+    workers: dict[str, model.Worker],
+    account: str,
+    shape: model.Shape,
 ) -> None:
-    plan = model.get_plan(context.get_lists(), account)
+    """Check a shape against the account's plan and the listed workers.
+
+    Raises:
+        errors.NeverFitsError: The job could never start.
+    """
+    plan = model.get_plan(lists, account)
     total = shape.parts * shape.accelerators
     if total > plan.max_accelerators:
         raise errors.NeverFitsError(
             f"{total} accelerators; plan {plan.name} allows "
             f"{plan.max_accelerators}"
         )
-    workers = context.host_list.hosts.workers.values()
-    largest = max((worker.accelerators for worker in workers), default=0)
+    largest = max(
+        (worker.accelerators for worker in workers.values()), default=0
+    )
     if workers and shape.accelerators > largest:
         raise errors.NeverFitsError(
             f"{shape.accelerators} accelerators in a part; the largest "
@@ -131,27 +148,46 @@
 def _store_job(context: AcceptanceContext, job: model.Job) -> Accepted:
     row = jobrows.encode_job(job)
     try:
-        groupcommit.submit_transaction(
+        groupcommit.commit(
             context.committer, jobpoller.make_insert(job.id, job.cell, row)
-        ).result(timeout=_COMMIT_TIMEOUT_S)
-    except errors.WriteConflictError:
-        return Accepted(_read_first(context, job), journaled=False)
+        )
+    except errors.WriteConflictError as conflict:
+        unread = errors.StoreDownError(
+            str(conflict), run=errors.Run.UNKNOWN, job_id=job.id
+        )
+        return Accepted(_find_first(context, job, unread), journaled=False)
     except errors.StoreError as error:
         return _journal_job(context, job, row, error)
     return Accepted(job, journaled=False)
 
 
-def _read_first(context: AcceptanceContext, job: model.Job) -> model.Job:
-    """Return the job that the key was first used for."""
+def _read_first(context: AcceptanceContext, job: model.Job) -> model.Job | None:
+    """Return the job that the key was first used for, if there is one."""
     try:
-        rows = tableclient.read_rows(context.table, [f"job/{job.id}"])
+        row = tableclient.read_rows(context.table, [f"job/{job.id}"]).get(
+            f"job/{job.id}"
+        )
     except errors.StoreUnavailableError as error:
         raise _make_store_down(job, error, errors.Run.UNKNOWN) from error
-    first = jobrows.decode_job(rows[f"job/{job.id}"].value)
+    if row is None:
+        return None
+    first = jobrows.decode_job(row.value)
     _check_same_body(first, job)
     return first
 
 
+def _find_first(
+    context: AcceptanceContext,
+    job: model.Job,
+    refusal: errors.RequestRefusedError,
+) -> model.Job:
+    """Return the job of an earlier use of the key; else raise the refusal."""
+    first = _read_first(context, job)
+    if first is None:
+        raise refusal
+    return first
+
+
 def _check_same_body(first: model.Job, job: model.Job) -> None:
     if first.digest != job.digest:
         raise errors.KeyReusedError(
@@ -166,24 +202,44 @@
     error: errors.StoreError,
 ) -> Accepted:
     """Accept into the object store, as the table does not take the job."""
+    content = json.dumps(row).encode()
+    unsent = isinstance(error, errors.StoreUnavailableError)
+    last: errors.StoreError = error
+    for _ in range(_JOURNAL_TRIES):
+        try:
+            if _put_journaled(context, job, content):
+                return Accepted(job, journaled=True)
+            unsent = False  # The key was journaled before, and imported now.
+        except errors.OutcomeUnknownError as unknown:
+            unsent, last = False, unknown
+        except errors.StoreUnavailableError as unavailable:
+            last = unavailable
+            break
+    run = errors.Run.NOT_RUN if unsent else errors.Run.UNKNOWN
+    raise _make_store_down(job, last, run) from last
+
+
+def _put_journaled(
+    context: AcceptanceContext, job: model.Job, content: bytes
+) -> bool:
+    """Return whether the journal holds the job.
+
+    Raises:
+        errors.OutcomeUnknownError: It may or may not hold it.
+        errors.StoreUnavailableError: Nothing was sent.
+    """
     key = f"accept/{job.cell}/{job.id}"
+    if objectclient.put_object_if_absent(context.objects, key, content):
+        return True
     try:
-        written = objectclient.put_object_if_absent(
-            context.objects, key, json.dumps(row).encode()
-        )
-        if not written:
-            content = objectclient.get_object(context.objects, key)
-            if content is not None:
-                first = jobrows.decode_job(json.loads(content))
-                _check_same_body(first, job)
-    except errors.StoreError as second:
-        outcomes = (error, second)
-        unsent = all(
-            isinstance(one, errors.StoreUnavailableError) for one in outcomes
-        )
-        run = errors.Run.NOT_RUN if unsent else errors.Run.UNKNOWN
-        raise _make_store_down(job, second, run) from second
-    return Accepted(job, journaled=True)
+        found = objectclient.get_object(context.objects, key)
+    except errors.StoreUnavailableError as error:
+        # The key is journaled already: the job may well run.
+        raise errors.OutcomeUnknownError("objects", str(error)) from error
+    if found is None:
+        return False
+    _check_same_body(jobrows.decode_job(json.loads(found)), job)
+    return True
 
 
 def _make_store_down(
--- a/packages/daemon/src/cyclamenshelf_daemon/jobpoller.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/jobpoller.py
@@ -5,32 +5,40 @@
 """
 
 from collections.abc import Callable
+import concurrent.futures
 import json
 import threading
+from typing import Any
 from typing import NamedTuple
 
 from cyclamenshelf_core import errors
 from cyclamenshelf_core import jobrows
+from cyclamenshelf_core import model
 from cyclamenshelf_daemon import celllease
 from cyclamenshelf_daemon import groupcommit
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import objectclient
+from cyclamenshelf_daemon import supervision
 from cyclamenshelf_daemon import tableclient
 
 _POLL_INTERVAL_MS = 1_000
 _IMPORT_BATCH = 100
-_IMPORT_TIMEOUT_S = 20
 
 
 class Loaded(NamedTuple):
-    """Rows of jobs that were not known, and ids of jobs to cancel."""
+    """Jobs that were not known with their row versions, and jobs to cancel."""
 
-    rows: list[tableclient.Row]
+    jobs: list[tuple[model.Job, int]]
     cancels: set[str]
 
 
 class JobPoller:
-    """What the poller has handed over already."""
+    """What the poller has handed over already.
+
+    Attributes:
+        check_job: Returns why a journaled job may not run, or an empty text;
+            None where that cannot be told yet.
+    """
 
     def __init__(
         self,
@@ -38,23 +46,25 @@
         objects: objectclient.ObjectClient,
         committer: groupcommit.GroupCommitter,
         tenure: celllease.Tenure,
-        on_loaded: Callable[[Loaded], None],
+        check_job: Callable[[model.Job], str | None],
     ) -> None:
         self.table = table
         self.objects = objects
         self.committer = committer
         self.tenure = tenure
-        self.on_loaded = on_loaded
+        self.check_job = check_job
         self.lock = threading.Lock()
         self.known: set[str] = set()
         self.wake = threading.Event()
         self.stopped = threading.Event()
 
 
-def start_polling(poller: JobPoller) -> None:
+def start_polling(
+    poller: JobPoller, on_loaded: Callable[[Loaded], None]
+) -> None:
     """Start the poller's thread."""
     threading.Thread(
-        target=_poll, args=(poller,), name="job-poller", daemon=True
+        target=_poll, args=(poller, on_loaded), name="job-poller", daemon=True
     ).start()
 
 
@@ -75,58 +85,177 @@
         poller.known.discard(job_id)
 
 
-def _poll(poller: JobPoller) -> None:
+def _poll(poller: JobPoller, on_loaded: Callable[[Loaded], None]) -> None:
     while not poller.stopped.is_set():
         poller.wake.clear()
-        try:
-            poller.on_loaded(_load(poller))
-            _import_journal(poller)
-        except errors.StoreError as error:
-            logs.log_event("job_poll_failed", "WARNING", detail=error)
+        supervision.run_logged("job_poll_failed", _poll_once, poller, on_loaded)
         poller.wake.wait(_POLL_INTERVAL_MS / 1000)
 
 
-def _load(poller: JobPoller) -> Loaded:
-    active = _scan_ids(poller, f"active/{poller.tenure.cell}/")
-    cancels = _scan_ids(poller, f"cancel/{poller.tenure.cell}/")
+def _poll_once(poller: JobPoller, on_loaded: Callable[[Loaded], None]) -> None:
+    try:
+        on_loaded(load(poller))
+        import_journal(poller)
+    except errors.StoreError as error:
+        logs.log_event("job_poll_failed", "WARNING", detail=error)
+
+
+def load(poller: JobPoller) -> Loaded:
+    """Return the jobs that were not handed over before.
+
+    Raises:
+        errors.StoreError: The table service did not answer.
+    """
+    cell = poller.tenure.cell
+    # Cancellations first: a job that ends meanwhile is then not active, and
+    # its cancellation is known to be left over.
+    cancels = _scan(poller, f"cancel/{cell}/")
+    active = _scan(poller, f"active/{cell}/")
     with poller.lock:
         new = [job_id for job_id in active if job_id not in poller.known]
     rows = tableclient.read_rows(
         poller.table, [f"job/{job_id}" for job_id in new]
     )
     with poller.lock:
-        poller.known.update(new)
-    return Loaded(list(rows.values()), set(cancels))
+        poller.known = (poller.known & active.keys()) | set(new)
+    _delete_left_over(
+        poller, {key: cancels[key] for key in cancels.keys() - active.keys()}
+    )
+    jobs = [_decode_row(row) for row in rows.values()]
+    return Loaded(
+        [job for job in jobs if job is not None], cancels.keys() & active.keys()
+    )
 
 
-def _scan_ids(poller: JobPoller, prefix: str) -> list[str]:
-    return [
-        row.key.removeprefix(prefix)
+def _scan(poller: JobPoller, prefix: str) -> dict[str, int]:
+    """Return the versions of the rows under a prefix, by the key's rest."""
+    return {
+        row.key.removeprefix(prefix): row.version
         for row in tableclient.scan_rows(poller.table, prefix)
-    ]
+    }
+
+
+def _decode_row(row: tableclient.Row) -> tuple[model.Job, int] | None:
+    try:
+        return jobrows.decode_job(row.value), row.version
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        logs.log_event(
+            "job_row_malformed", "ERROR", key=row.key, detail=repr(error)
+        )
+        return None
+
+
+def _delete_left_over(poller: JobPoller, cancels: dict[str, int]) -> None:
+    """Delete cancellations that were stored while their jobs ended."""
+    rows = tableclient.read_rows(
+        poller.table, [f"job/{job_id}" for job_id in cancels]
+    )
+    for job_id, version in cancels.items():
+        row = rows.get(f"job/{job_id}")
+        if row is None or row.value.get("state") in model.ENDED_STATES:
+            key = f"cancel/{poller.tenure.cell}/{job_id}"
+            groupcommit.submit_transaction(
+                poller.committer,
+                tableclient.Transaction({key: version}, {}, (key,)),
+            )
 
 
-def _import_journal(poller: JobPoller) -> None:
-    """Insert journaled jobs into the table, then delete them."""
+def import_journal(poller: JobPoller) -> None:
+    """Insert journaled jobs into the table, then delete them.
+
+    Raises:
+        errors.StoreError: A store did not answer; the rest stays journaled.
+    """
     prefix = f"accept/{poller.tenure.cell}/"
-    for key in objectclient.list_objects(poller.objects, prefix, _IMPORT_BATCH):
-        content = objectclient.get_object(poller.objects, key)
-        if content is not None:
-            _insert_journaled(poller, json.loads(content))
+    after = ""
+    while not poller.stopped.is_set():
+        keys = objectclient.list_objects(
+            poller.objects, prefix, _IMPORT_BATCH, after
+        )
+        _import_batch(poller, prefix, keys)
+        if len(keys) < _IMPORT_BATCH:
+            return
+        after = keys[-1]
+
+
+def _import_batch(poller: JobPoller, prefix: str, keys: list[str]) -> None:
+    inserts: dict[str, tuple[model.Job, concurrent.futures.Future[int]]] = {}
+    for key in keys:
+        job = _read_journaled(poller, key, key.removeprefix(prefix))
+        reason = None if job is None else poller.check_job(job)
+        if job is not None and reason is not None:
+            inserts[key] = job, _submit_insert(poller, job, reason)
+    for key, (job, future) in inserts.items():
+        try:
+            groupcommit.wait_for_commit(future)
+            logs.log_event("journal_imported", job=job.id)
+        except errors.WriteConflictError:
+            _settle_duplicate(poller, job)
         objectclient.delete_object(poller.objects, key)
         poller.wake.set()
 
 
-def _insert_journaled(poller: JobPoller, value: dict) -> None:
-    job = jobrows.decode_job(value)
-    future = groupcommit.submit_transaction(
-        poller.committer, make_insert(job.id, job.cell, value)
-    )
+def _read_journaled(
+    poller: JobPoller, key: str, job_id: str
+) -> model.Job | None:
+    """Return a journaled job; set a malformed object aside."""
+    content = objectclient.get_object(poller.objects, key)
+    if content is None:
+        return None
     try:
-        future.result(timeout=_IMPORT_TIMEOUT_S)
-        logs.log_event("journal_imported", job=job.id)
-    except errors.WriteConflictError:
+        job = jobrows.decode_job(json.loads(content))
+        if (job.id, job.cell) == (job_id, poller.tenure.cell):
+            return job
+        detail = f"job {job.id} of cell {job.cell}"
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        detail = repr(error)
+    logs.log_event("journal_malformed", "ERROR", key=key, detail=detail)
+    objectclient.put_object(poller.objects, f"malformed/{key}", content)
+    objectclient.delete_object(poller.objects, key)
+    return None
+
+
+def _submit_insert(
+    poller: JobPoller, job: model.Job, reason: str
+) -> concurrent.futures.Future[int]:
+    transaction = make_insert(job.id, job.cell, jobrows.encode_job(job))
+    if reason:
+        logs.log_event("journal_rejected", job=job.id, reason=reason)
+        transaction = tableclient.Transaction(
+            {f"job/{job.id}": 0}, {f"job/{job.id}": _make_rejected(job, reason)}
+        )
+    return groupcommit.submit_transaction(poller.committer, transaction)
+
+
+def _make_rejected(job: model.Job, reason: str) -> dict[str, Any]:
+    return jobrows.encode_job(
+        job._replace(
+            state=model.JobState.REJECTED,
+            run=errors.Run.NOT_RUN,
+            reason=reason,
+        )
+    )
+
+
+def _settle_duplicate(poller: JobPoller, job: model.Job) -> None:
+    """Keep a record of a job whose key was used with another body before.
+
+    The row belongs to the first body, so the record is an object.
+    """
+    key = f"job/{job.id}"
+    row = tableclient.read_rows(poller.table, [key]).get(key)
+    if row is None:
+        raise errors.StoreUnavailableError("table", f"{key} not found")
+    if row.value["digest"] == job.digest:
         logs.log_event("journal_duplicate", job=job.id)
+        return
+    reason = errors.KeyReusedError.code
+    logs.log_event("journal_rejected", "WARNING", job=job.id, reason=reason)
+    objectclient.put_object(
+        poller.objects,
+        f"rejected/{job.cell}/{job.id}/{job.digest}",
+        json.dumps(_make_rejected(job, reason)).encode(),
+    )
 
 
 def make_insert(job_id: str, cell: str, value: dict) -> tableclient.Transaction:
--- a/packages/daemon/src/cyclamenshelf_daemon/objectclient.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/objectclient.py
@@ -63,15 +63,24 @@
     _call(client, "DELETE", key)
 
 
-def list_objects(client: ObjectClient, prefix: str, limit: int) -> list[str]:
-    """Return the first keys that have a prefix, in key order.
+def list_objects(
+    client: ObjectClient, prefix: str, limit: int, after: str = ""
+) -> list[str]:
+    """Return the first keys over `after` that have a prefix, in key order.
 
     Raises:
         errors.StoreUnavailableError: The store did not answer.
     """
-    query = urllib.parse.urlencode({"prefix": prefix, "limit": limit})
-    answer: Any = json.loads(_read(client, "?" + query).body)
-    return answer["keys"]
+    query = urllib.parse.urlencode(
+        {"prefix": prefix, "after": after, "limit": limit}
+    )
+    try:
+        answer: Any = json.loads(_read(client, "?" + query).body)
+        return list(map(str, answer["keys"]))
+    except (ValueError, KeyError, TypeError) as error:
+        raise errors.StoreUnavailableError(
+            _STORE, "answer to a listing is malformed"
+        ) from error
 
 
 def _call(
@@ -94,7 +103,8 @@
         if failure.sent:
             raise errors.OutcomeUnknownError(_STORE, str(failure)) from failure
         raise errors.StoreUnavailableError(_STORE, str(failure)) from failure
-    if result.status not in (200, 412):
+    expected = (200, 404) if method == "DELETE" else (200, 412)
+    if result.status not in expected:
         raise errors.OutcomeUnknownError(_STORE, f"status {result.status}")
     return result
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tableclient.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tableclient.py
@@ -57,7 +57,10 @@
 
 
 def commit_transaction(
-    client: TableClient, transaction: Transaction, give_up_ms: int
+    client: TableClient,
+    transaction: Transaction,
+    give_up_ms: int,
+    call_timeout_ms: int = _CALL_TIMEOUT_MS,
 ) -> int:
     """Apply a transaction and return its revision, the new row version.
 
@@ -66,6 +69,7 @@
         transaction: The writes; each put has a check, or an outcome could
             not be told apart from a second application.
         give_up_ms: Monotonic time after which nothing is sent again.
+        call_timeout_ms: How long each send waits for its answer.
 
     Raises:
         errors.WriteConflictError: A row differs; nothing was written.
@@ -83,17 +87,23 @@
                 "POST",
                 f"{client.url}/v1/transactions",
                 body,
-                timeout_ms=min(_CALL_TIMEOUT_MS, left_ms),
+                timeout_ms=min(call_timeout_ms, left_ms),
             )
             if status == 200:
-                return answer["revision"]
+                return int(answer["revision"])
             if status == 409:
+                failed = {
+                    str(row["key"]): int(row["version"])
+                    for row in answer["failed"]
+                }
                 return _resolve_conflict(
-                    client, transaction, body["id"], answer, unknown
+                    client, transaction, body["id"], failed, unknown
                 )
             unknown = True
         except httpclient.HttpFailureError as failure:
             unknown = unknown or failure.sent
+        except (KeyError, TypeError, ValueError):
+            unknown = True  # Not an answer of the table service.
         if client.clock.now_ms() + backoff_ms >= give_up_ms:
             if unknown:
                 raise errors.OutcomeUnknownError(_STORE, "no answer to a write")
@@ -110,13 +120,13 @@
     """
     rows: dict[str, Row] = {}
     for start in range(0, len(keys), MAX_ROWS):
-        answer = _read(
+        found = _read(
             client,
             "POST",
             "/v1/rows:get",
             {"keys": keys[start : start + MAX_ROWS]},
         )
-        rows |= {row["key"]: _decode(row) for row in answer["rows"]}
+        rows |= {row.key: row for row in found}
     return rows
 
 
@@ -131,11 +141,11 @@
         query = urllib.parse.urlencode(
             {"prefix": prefix, "after": after, "limit": _SCAN_ROWS}
         )
-        rows = _read(client, "GET", f"/v1/rows?{query}")["rows"]
-        yield from map(_decode, rows)
+        rows = _read(client, "GET", f"/v1/rows?{query}")
+        yield from rows
         if len(rows) < _SCAN_ROWS:
             return
-        after = rows[-1]["key"]
+        after = rows[-1].key
 
 
 def _encode(transaction: Transaction) -> dict[str, Any]:
@@ -157,7 +167,7 @@
     client: TableClient,
     transaction: Transaction,
     transaction_id: str,
-    answer: dict[str, Any],
+    failed: dict[str, int],
     unknown: bool,
 ) -> int:
     """Return the revision if an earlier send was applied, else raise."""
@@ -171,14 +181,12 @@
         for row in rows.values():
             if row.transaction == transaction_id:
                 return row.version
-    raise errors.WriteConflictError(
-        {row["key"]: row["version"] for row in answer["failed"]}
-    )
+    raise errors.WriteConflictError(failed)
 
 
 def _read(
     client: TableClient, method: str, path: str, value: Any = None
-) -> Any:
+) -> list[Row]:
     try:
         status, answer = httpclient.call_json(
             client.pool,
@@ -191,7 +199,12 @@
         raise errors.StoreUnavailableError(_STORE, str(failure)) from failure
     if status != 200:
         raise errors.StoreUnavailableError(_STORE, f"status {status} to a read")
-    return answer
+    try:
+        return [_decode(row) for row in answer["rows"]]
+    except (KeyError, TypeError) as error:
+        raise errors.StoreUnavailableError(
+            _STORE, f"answer to a read lacks {error}"
+        ) from error
 
 
 def _decode(row: dict[str, Any]) -> Row:
--- a/packages/standin/src/cyclamenshelf_standin/faults.py
+++ b/packages/standin/src/cyclamenshelf_standin/faults.py
@@ -14,6 +14,8 @@
     Attributes:
         down: Connections are closed before the request takes effect.
         delay_ms: Each answer is delayed, after the effect.
+        hold_ms: Each write is delayed before it takes effect; its sender may
+            have given up by then.
         lose_answers: This many next writes take effect, then their
             connection is closed without an answer.
         drop_requests: This many next writes are closed without effect.
@@ -23,6 +25,7 @@
         self.lock = threading.Lock()
         self.down = False
         self.delay_ms = 0
+        self.hold_ms = 0
         self.lose_answers = 0
         self.drop_requests = 0
 
@@ -52,9 +55,11 @@
         if request.path == "/faults" and request.method == "PUT":
             faults.update(json.loads(request.body))
             return webserver.make_json(200, {})
-        write = request.method != "GET"
+        write = request.method != "GET" and not request.path.endswith(":get")
         if faults.down or (write and faults.take_one("drop_requests")):
             raise webserver.ConnectionDroppedError
+        if write and faults.hold_ms:
+            time.sleep(faults.hold_ms / 1000)
         response = handler(request)
         if faults.delay_ms:
             time.sleep(faults.delay_ms / 1000)
--- a/packages/standin/src/cyclamenshelf_standin/platform.py
+++ b/packages/standin/src/cyclamenshelf_standin/platform.py
@@ -115,7 +115,7 @@
             port_base + index if port_base else 0,
             handler,
             threads=_THREADS,
-            stop_timeout_s=0.5,
+            stop_timeout_s=0.1,
         )
         for index, handler in enumerate(handlers)
     )
--- a/packages/standin/src/cyclamenshelf_standin/workerservice.py
+++ b/packages/standin/src/cyclamenshelf_standin/workerservice.py
@@ -2,7 +2,8 @@
 
 A worker's address is `http://<server>/<worker id>`. The payload of a task
 tells the stand-in what to do: `{"run_ms": 50, "answer": "text",
-"fail": false}`; the answer may contain `{part}`.
+"fail": false, "kill": false}`; the answer may contain `{part}`, and a task
+that kills makes its worker unreachable as it starts.
 """
 
 import json
@@ -36,6 +37,9 @@
         unreachable: Does not answer, but its tasks go on.
         failing: Every task fails as soon as it starts.
         lose_starts: This many next starts are closed without effect.
+        lose_start_answers: This many next starts take effect unanswered.
+        delay_starts_ms: Each start takes effect this much later, whatever
+            other commands arrive meanwhile.
     """
 
     def __init__(self, worker_id: str, accelerators: int) -> None:
@@ -48,6 +52,7 @@
         self.unreachable = False
         self.failing = False
         self.lose_starts = 0
+        self.lose_start_answers = 0
         self.delay_starts_ms = 0
 
 
@@ -62,6 +67,8 @@
             if worker.unreachable:
                 raise webserver.ConnectionDroppedError
             body = json.loads(request.body or b"{}")
+            if handle is _start and worker.delay_starts_ms:
+                time.sleep(worker.delay_starts_ms / 1000)
             with worker.lock:
                 _advance(worker)
                 return handle(worker, body, *request.args[1:])
@@ -161,9 +168,6 @@
     if worker.lose_starts > 0:
         worker.lose_starts -= 1
         raise webserver.ConnectionDroppedError
-    if worker.delay_starts_ms:
-        time.sleep(worker.delay_starts_ms / 1000)
-        _advance(worker)
     if _is_fenced(worker, body):
         return _refuse("fenced")
     task = worker.tasks.get(task_id)
@@ -186,6 +190,10 @@
         "outcome": "running",
     }
     worker.records.append(task.record)
+    worker.unreachable |= bool(task.payload.get("kill"))
+    if worker.unreachable or worker.lose_start_answers > 0:
+        worker.lose_start_answers -= worker.lose_start_answers > 0
+        raise webserver.ConnectionDroppedError
     return webserver.make_json(200, _describe(task))
 
 
