--- a/packages/standin/src/cyclamenshelf_standin/backendservice.py
+++ b/packages/standin/src/cyclamenshelf_standin/backendservice.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 import contextlib
 import json
+import re
 import socket
 import threading
 import time
@@ -70,13 +71,27 @@
                 while True:
                     connection, _ = listener.accept()
                     with connection:
-                        while connection.recv(65_536):
+                        while _read_request(connection):
                             connection.sendall(answer)
 
         threading.Thread(target=serve, daemon=True).start()
         yield f"http://127.0.0.1:{listener.getsockname()[1]}/raw"
 
 
+def _read_request(connection: socket.socket) -> bool:
+    """Read one request, which may come in several packets."""
+    data = b""
+    while True:
+        head, end, body = data.partition(b"\r\n\r\n")
+        length = re.search(rb"content-length: *(\d+)", head, re.IGNORECASE)
+        if end and len(body) >= (int(length[1]) if length else 0):
+            return True
+        chunk = connection.recv(65_536)
+        if not chunk:
+            return False
+        data += chunk
+
+
 def make_handler(backends: dict[str, Backend]) -> webserver.Handler:
     """Return the HTTP handler of a set of backend servers."""
 
