--- a/packages/standin/src/cyclamenshelf_standin/backendservice.py
+++ b/packages/standin/src/cyclamenshelf_standin/backendservice.py
@@ -7,8 +7,8 @@
 
 from collections.abc import Iterator
 import contextlib
-import io
 import json
+import re
 import socket
 import threading
 import time
@@ -70,31 +70,26 @@
             with contextlib.suppress(OSError):
                 while True:
                     connection, _ = listener.accept()
-                    with connection, connection.makefile("rb") as stream:
-                        while _read_raw_request(stream):
+                    with connection:
+                        while _read_request(connection):
                             connection.sendall(answer)
 
         threading.Thread(target=serve, daemon=True).start()
         yield f"http://127.0.0.1:{listener.getsockname()[1]}/raw"
 
 
-def _read_raw_request(stream: io.BufferedReader) -> bool:
-    """Read one whole request; return whether there was one.
-
-    A request that arrives in two segments must not be answered twice: the
-    second answer would fill up a first one that is too short.
-    """
-    length = 0
-    line = stream.readline()
-    if not line:
-        return False
-    while line not in (b"\r\n", b""):
-        name, _, value = line.partition(b":")
-        if name.lower() == b"content-length":
-            length = int(value)
-        line = stream.readline()
-    stream.read(length)
-    return True
+def _read_request(connection: socket.socket) -> bool:
+    """Read one request, which may come in several packets."""
+    data = b""
+    while True:
+        head, end, body = data.partition(b"\r\n\r\n")
+        length = re.search(rb"content-length: *(\d+)", head, re.IGNORECASE)
+        if end and len(body) >= (int(length[1]) if length else 0):
+            return True
+        chunk = connection.recv(65_536)
+        if not chunk:
+            return False
+        data += chunk
 
 
 def make_handler(backends: dict[str, Backend]) -> webserver.Handler:
