Stop no background work for a flood and drop claims on moved guarantees

A flooding urgent job, blocked while there was free room to keep for others, preempted once that room was gone. A job whose guarantee had moved still started on its old workers and was stopped as a borrower. Ruled out: a weaker check of the second decision. A claim by guarantee is dropped where the guarantee no longer holds it.

--- a/packages/core/src/cyclamenshelf_core/policy.py
+++ b/packages/core/src/cyclamenshelf_core/policy.py
@@ -275,7 +275,12 @@
     """Give a job these workers, now or once others have been stopped."""
     for worker_id, wanted in _sum_by_worker(claim.placement).items():
         space = state.ledger.spaces[worker_id]
-        if ledgers.get_limit(space, job.account) < wanted:
+        limit = ledgers.get_limit(space, job.account)
+        if claim.kind == "reclaim":
+            # The guarantee may have moved to other workers since.
+            pledged = space.pledged.get(job.account, 0)
+            limit = min(limit, pledged - space.used.get(job.account, 0))
+        if limit < wanted:
             return False
     at_ms = state.snapshot.now_ms
     if claim.kind == "backfill":
@@ -470,8 +475,9 @@
     ledger = state.ledger
     held = ledger.accounts
     wanted = decisions.count_accelerators(job.spec.shape)
-    total = held.get(job.account, 0) + wanted
-    if total <= _FLOOD_PART * state.capacity:
+    limit = _FLOOD_PART * state.capacity
+    # A gang that alone is over the limit could otherwise wait for ever.
+    if held.get(job.account, 0) + wanted <= limit or wanted > limit:
         return False
     kept = 0.0
     for account, recent in state.recent.items():
@@ -485,7 +491,7 @@
     if decisions.is_stoppable(job):
         room = ledgers.Room.ANY
     free = sum(rack.totals[room] for rack in ledger.racks.values())
-    return wanted <= free < wanted + kept
+    return kept > 0 and free < wanted + kept
 
 
 def _preempt(state: _Round, job: model.Job) -> bool:
--- a/testing/core/test_policy.py
+++ b/testing/core/test_policy.py
@@ -206,3 +206,24 @@
     )
     assert len(found) == starts
     assert set(blocked.values()) <= {"kept_for_others"}
+
+
+def test_flood_stops_no_background_work_for_what_is_kept():
+    # The next decision, with less free, stopped a background job for it.
+    job = builders.make_job("j", "a", 1, 4, urgency="urgent")
+    own = [
+        builders.run_job(builders.make_job(f"own{w}", "a", 1, 8), w)
+        for w in ("w0000", "w0001")
+    ]
+    low = builders.make_job(
+        "low", "c", 1, 8, urgency="background", stoppable=True
+    )
+    _, preempted, blocked = _decide(
+        builders.make_workers(1, 3),
+        builders.make_lists(),
+        [job],
+        [*own, builders.run_job(low, "w0002")],
+        usage={"b": 346.0},
+    )
+    assert preempted == []
+    assert blocked == {"j": "kept_for_others"}
