--- a/packages/core/src/cyclamenshelf_core/policy.py
+++ b/packages/core/src/cyclamenshelf_core/policy.py
@@ -35,6 +35,11 @@
 # latest start times and reservations fall due by time alone.
 REVIEW_INTERVAL_MS = 1_000
 
+# An account that would hold more than this part of the fleet leaves free what
+# the others used of late. Unstoppable work of a flood otherwise takes every
+# accelerator that their short jobs free, and keeps it for a whole run time.
+_FLOOD_PART = 0.5
+
 _Shape = tuple[str, model.Shape, bool, model.Urgency]
 
 
@@ -83,10 +88,18 @@
                 snapshot.running.values(), snapshot.now_ms
             )
         self.usage = dict(usage)
+        self.recent = {
+            account: usages.average_held(used)
+            for account, used in usage.items()
+            if account in snapshot.lists.accounts
+        }
+        self.capacity = sum(
+            worker.accelerators for worker in snapshot.workers.values()
+        )
         self.decisions: list[Decision] = []
         self.decided: set[str] = set()
         self.claims: dict[str, Claim] = {}
-        self.holds: dict[str, model.Placement] = {}
+        self.holds: dict[str, Claim] = {}
         self.failed: dict[_Shape, str] = {}
         self.holding: set[tuple[str, model.Urgency]] = set()
         self.searches = _MAX_SEARCHES
@@ -252,28 +265,34 @@
         if job is None or not _is_possible(state, job, claim.placement):
             continue
         if claim.kind == "hold":
-            state.holds[job_id] = claim.placement
+            state.holds[job_id] = claim
             continue
         if _get_plan_reason(state, job) is None:
-            _try_on(state, job, claim.placement, claim.kind)
+            _try_on(state, job, claim)
 
 
-def _try_on(
-    state: _Round, job: model.Job, placement: model.Placement, kind: str
-) -> bool:
+def _try_on(state: _Round, job: model.Job, claim: Claim) -> bool:
     """Give a job these workers, now or once others have been stopped."""
-    for worker_id, wanted in _sum_by_worker(placement).items():
+    for worker_id, wanted in _sum_by_worker(claim.placement).items():
         space = state.ledger.spaces[worker_id]
-        if ledgers.get_limit(space, job.account) < wanted:
+        limit = ledgers.get_limit(space, job.account)
+        if claim.kind == "reclaim":
+            # The guarantee may have moved to other workers since.
+            pledged = space.pledged.get(job.account, 0)
+            limit = min(limit, pledged - space.used.get(job.account, 0))
+        if limit < wanted:
             return False
+    at_ms = state.snapshot.now_ms
+    if claim.kind == "backfill":
+        at_ms = claim.since_ms
     found = preemption.plan_on(
         state.ledger,
-        placement,
-        preemption.make_rule(kind, job, state.snapshot.now_ms),
+        claim.placement,
+        preemption.make_rule(claim.kind, job, at_ms),
     )
     if found is None:
         return False
-    _carry_out(state, job, found, kind)
+    _carry_out(state, job, found, claim.kind, claim.since_ms)
     return True
 
 
@@ -300,7 +319,11 @@
 
 
 def _carry_out(
-    state: _Round, job: model.Job, found: preemption.Plan, kind: str
+    state: _Round,
+    job: model.Job,
+    found: preemption.Plan,
+    kind: str,
+    since_ms: int = 0,
 ) -> None:
     """Start a job, or stop what is in its way and promise it the workers."""
     is_free = not found.victims and all(
@@ -316,7 +339,7 @@
             Preempt(victim.job.id, f"preempted ({kind}) for {job.id}")
         )
     ledgers.claim(state.ledger, job, found.placement)
-    state.claims[job.id] = Claim(found.placement, kind)
+    state.claims[job.id] = Claim(found.placement, kind, since_ms)
     _block(state, job, "waiting_for_preemption")
 
 
@@ -377,10 +400,10 @@
 def _apply_holds(state: _Round, urgency: model.Urgency) -> None:
     """Keep reserved workers from unstoppable work of this class and below."""
     waiting = {job.id: job for job in state.snapshot.queued}
-    for job_id, placement in state.holds.items():
+    for job_id, claim in state.holds.items():
         job = waiting[job_id]
         if job.spec.urgency is urgency and job_id not in state.decided:
-            ledgers.hold(state.ledger, _sum_by_worker(placement))
+            ledgers.hold(state.ledger, _sum_by_worker(claim.placement))
 
 
 def _serve_class(state: _Round, by_account: dict[str, list[model.Job]]) -> None:
@@ -390,6 +413,16 @@
         for account in by_account
         if account in lists.accounts
     }
+    # A job with a reservation is served first: others would otherwise start
+    # on its workers only to be stopped by the next decision.
+    for jobs in by_account.values():
+        for job in jobs:
+            if job.id not in state.holds or job.id in state.decided:
+                continue
+            if _serve_job(state, job):
+                ordering.charge_usage(
+                    state.usage, job, _estimate_run_ms(state, job)
+                )
     fair = ordering.FairQueue(by_account, state.usage, weights)
     while (job := fair.pop_job()) is not None:
         if job.id in state.decided:
@@ -402,7 +435,7 @@
     """Decide on one job; return whether it takes part of the capacity."""
     reserved = state.holds.pop(job.id, None)
     if reserved is not None:
-        ledgers.hold(state.ledger, _sum_by_worker(reserved), -1)
+        ledgers.hold(state.ledger, _sum_by_worker(reserved.placement), -1)
     reason = _get_plan_reason(state, job)
     if reason is not None:
         _block(state, job, reason)
@@ -417,11 +450,16 @@
         if not _hold_workers(state, job, None):
             _block(state, job, state.failed[key])
         return False
+    if _floods(state, job):
+        _block(state, job, "kept_for_others")
+        return False
     found = placements.find_placement(state.ledger, job)
     if found is not None:
         _start(state, job, found)
         return True
-    if reserved is not None and _try_on(state, job, reserved, "backfill"):
+    if reserved is not None and _try_on(
+        state, job, reserved._replace(kind="backfill")
+    ):
         return True
     if _preempt(state, job):
         return True
@@ -432,6 +470,30 @@
     return False
 
 
+def _floods(state: _Round, job: model.Job) -> bool:
+    """Return whether a job would take what other accounts use."""
+    ledger = state.ledger
+    held = ledger.accounts
+    wanted = decisions.count_accelerators(job.spec.shape)
+    limit = _FLOOD_PART * state.capacity
+    # A gang that alone is over the limit could otherwise wait for ever.
+    if held.get(job.account, 0) + wanted <= limit or wanted > limit:
+        return False
+    kept = 0.0
+    for account, recent in state.recent.items():
+        if account != job.account:
+            pledged = sum(
+                space.pledged[account]
+                for space in ledger.pledges.get(account, ())
+            )
+            kept += max(0.0, recent - max(held.get(account, 0), pledged))
+    room = ledgers.Room.OPEN
+    if decisions.is_stoppable(job):
+        room = ledgers.Room.ANY
+    free = sum(rack.totals[room] for rack in ledger.racks.values())
+    return kept > 0 and free < wanted + kept
+
+
 def _preempt(state: _Round, job: model.Job) -> bool:
     """Let a blocked job replace background work or move stoppable work."""
     if state.searches <= 0:
@@ -452,7 +514,7 @@
 
 
 def _hold_workers(
-    state: _Round, job: model.Job, reserved: model.Placement | None
+    state: _Round, job: model.Job, reserved: Claim | None
 ) -> bool:
     """Reserve workers for a large job that has waited long.
 
@@ -469,16 +531,17 @@
         return False
     if reserved is None and state.searches > 0:
         state.searches -= 1
-        reserved = preemption.plan_hold(
-            state.ledger, job, state.snapshot.ratios, state.snapshot.now_ms
+        now_ms = state.snapshot.now_ms
+        placement = preemption.plan_hold(
+            state.ledger, job, state.snapshot.ratios, now_ms
         )
-        if reserved is not None and _try_on(state, job, reserved, "backfill"):
-            return True
+        if placement is not None:
+            reserved = Claim(placement, "hold", now_ms)
     if reserved is None:
         return False
     state.holding.add(holder)
-    ledgers.hold(state.ledger, _sum_by_worker(reserved))
-    state.claims[job.id] = Claim(reserved, "hold")
+    ledgers.hold(state.ledger, _sum_by_worker(reserved.placement))
+    state.claims[job.id] = reserved
     _block(state, job, "waiting_for_reserved_workers")
     return True
 
--- a/testing/core/test_policy.py
+++ b/testing/core/test_policy.py
@@ -103,6 +103,28 @@
     assert ("small" in starts) == starts_now
 
 
+@pytest.mark.parametrize(("started_ms", "expected"), [(-1, []), (1, ["s"])])
+def test_reservation_stops_only_what_was_backfilled_after_it(
+    started_ms, expected
+):
+    # Without the limit, a new reservation stopped what had just started.
+    gang = builders.make_job("gang", "a", 2)
+    small = builders.make_job(
+        "s", "b", 1, 1, stoppable=True, accepted_ms=_LATER_MS
+    )
+    held_ms = builders.NOW_MS + 70_000
+    placement = builders.run_job(gang, "w0000", "w0001").placement
+    _, preempted, _ = _decide(
+        builders.make_workers(1, 2),
+        builders.make_lists(),
+        [gang],
+        [builders.run_job(small, "w0000", since_ms=held_ms + started_ms)],
+        now_ms=held_ms + 1_000,
+        claims={"gang": policy.Claim(placement, "hold", held_ms)},
+    )
+    assert preempted == expected
+
+
 @pytest.mark.parametrize(
     ("job", "reason"),
     [
@@ -170,3 +192,38 @@
     )
     assert state.samples == {"a": [4.0]}
     assert 1600 < state.usage["a"] < 1920
+
+
+@pytest.mark.parametrize(("recent", "starts"), [(0.0, 6), (346.0, 5)])
+def test_flood_leaves_free_what_others_used_of_late(recent, starts):
+    # 346 accelerator-seconds are 0.4 accelerators held all the time.
+    jobs = [builders.make_job(f"j{index}", "a", 1, 4) for index in range(6)]
+    found, _, blocked = _decide(
+        builders.make_workers(1, 3),
+        builders.make_lists(),
+        jobs,
+        usage={"b": recent},
+    )
+    assert len(found) == starts
+    assert set(blocked.values()) <= {"kept_for_others"}
+
+
+def test_flood_stops_no_background_work_for_what_is_kept():
+    # The next decision, with less free, stopped a background job for it.
+    job = builders.make_job("j", "a", 1, 4, urgency="urgent")
+    own = [
+        builders.run_job(builders.make_job(f"own{w}", "a", 1, 8), w)
+        for w in ("w0000", "w0001")
+    ]
+    low = builders.make_job(
+        "low", "c", 1, 8, urgency="background", stoppable=True
+    )
+    _, preempted, blocked = _decide(
+        builders.make_workers(1, 3),
+        builders.make_lists(),
+        [job],
+        [*own, builders.run_job(low, "w0002")],
+        usage={"b": 346.0},
+    )
+    assert preempted == []
+    assert blocked == {"j": "kept_for_others"}
