--- a/packages/cli/src/cyclamenshelf_cli/link.py
+++ b/packages/cli/src/cyclamenshelf_cli/link.py
@@ -60,14 +60,17 @@
             "Authorization": f"Bearer {credential}",
             "Content-Type": "application/json",
         },
-        urllib3.Timeout(
-            connect=min(_CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
-        ),
+        urllib3.Timeout(connect=_choose_connect(timeout_s), read=timeout_s),
         # A redirect could send the credential elsewhere.
         urllib3.PoolManager(retries=False),
     )
 
 
+def _choose_connect(timeout_s: float) -> float:
+    """Return the time for a connection, which also bounds sending a body."""
+    return min(timeout_s, max(_CONNECT_TIMEOUT_S, timeout_s / 4))
+
+
 def read(link: Link, path: str) -> Answer:
     """Return the answer of the first host that answers a question.
 
