Wait for the lost answer before the object store returns in its test

Cause: one of three runs of the whole suite failed with an IndexError in test_answer_lost_at_the_worker: no line of history. A copy that had been fetched before the worker's tasks were cleared was written once the store was back, and the job ended rightly with its whole answer. Ruled out: a fault of the owner; the answer was the first attempt's. Change: the test lets the store return only after the attempt was given up. Conclusion: the fault was in the test's order.

--- a/testing/daemon/test_ends.py
+++ b/testing/daemon/test_ends.py
@@ -251,6 +251,11 @@
     )
     with worker.lock:
         worker.tasks.clear()
+    # A copy that was fetched before must not reach the store after all.
+    cells.wait_until(
+        lambda: cells.read_job(platform, job_id).history,
+        "the attempt has been given up",
+    )
     platform.objects_faults.update({"down": False})
     job = cells.wait_for_state(platform, job_id, "succeeded", limit_s=15)
     assert "answer lost on w0" in job.history[0]
