Keep a job from workers that failed it; show the burn report to operators

Cause: a new test of a worker that fails everything found that one job was given back to that worker ten times and was then given up: the worker is free again at once, and one job's failures do not quarantine it. Ruled out: a pause of a worker after each failure, as one account's bad jobs could then pause the workers of all. Change: placement leaves out the workers that failed the job before, unless all have.

--- a/packages/cli/src/cyclamenshelf_cli/burnreport.py
+++ b/packages/cli/src/cyclamenshelf_cli/burnreport.py
@@ -3,7 +3,6 @@
 import html
 import io
 import json
-from typing import Any
 
 from cyclamenshelf_core import burn
 
@@ -51,7 +50,9 @@
 
 def format_json(burns: list[burn.PlanBurn]) -> str:
     """Return the report as JSON, for scripts."""
-    return json.dumps({"burn": [_make_dict(one) for one in burns]}, indent=2)
+    return json.dumps(
+        {"burn": [burn.encode_burn(one) for one in burns]}, indent=2
+    )
 
 
 def format_html(burns: list[burn.PlanBurn], time: str) -> str:
@@ -89,13 +90,6 @@
     ]
 
 
-def _make_dict(one: burn.PlanBurn) -> dict[str, Any]:
-    return one._asdict() | {
-        "windows": [window._asdict() for window in one.windows],
-        "causes": [cause._asdict() for cause in one.causes],
-    }
-
-
 def _make_table(rows: list[list[str]]) -> str:
     lines = [
         "<tr>"
--- a/packages/cli/src/cyclamenshelf_cli/main.py
+++ b/packages/cli/src/cyclamenshelf_cli/main.py
@@ -15,6 +15,7 @@
 from cyclamenshelf_cli import options
 from cyclamenshelf_cli import output as outputs
 from cyclamenshelf_cli import quarantine
+from cyclamenshelf_cli import report
 from cyclamenshelf_cli import status
 from cyclamenshelf_cli import workers
 
@@ -35,6 +36,7 @@
   jobs        list, show, explain and cancel jobs
   quarantine  take a worker out of service
   drain       make one entry host exit
+  report      service-level burn of each plan
 
 {exitcodes.TABLE}"""
 GROUPS = {
@@ -46,6 +48,7 @@
     "jobs": jobs.run,
     "quarantine": quarantine.run,
     "drain": drain.run,
+    "report": report.run,
 }
 
 
--- a/packages/core/src/cyclamenshelf_core/burn.py
+++ b/packages/core/src/cyclamenshelf_core/burn.py
@@ -6,6 +6,7 @@
 
 import collections
 from collections.abc import Callable
+from typing import Any
 from typing import NamedTuple
 
 from cyclamenshelf_core import model
@@ -133,6 +134,27 @@
     ]
 
 
+def encode_burn(one: PlanBurn) -> dict[str, Any]:
+    """Return a burn as a JSON value."""
+    return one._asdict() | {
+        "windows": [window._asdict() for window in one.windows],
+        "causes": [cause._asdict() for cause in one.causes],
+    }
+
+
+def decode_burn(value: dict[str, Any]) -> PlanBurn:
+    """Return the burn of a JSON value that `encode_burn` made."""
+    return PlanBurn(
+        **value
+        | {
+            "windows": tuple(
+                WindowBurn(**window) for window in value["windows"]
+            ),
+            "causes": tuple(Cause(**cause) for cause in value["causes"]),
+        }
+    )
+
+
 def _judge_jobs(
     jobs: list[EndedJob], objective: Objective
 ) -> list[tuple[EndedJob, bool]]:
--- a/packages/core/src/cyclamenshelf_core/policy.py
+++ b/packages/core/src/cyclamenshelf_core/policy.py
@@ -453,10 +453,13 @@
     if _floods(state, job):
         _block(state, job, "kept_for_others")
         return False
-    found = placements.find_placement(state.ledger, job)
+    found = _find_avoiding(state.ledger, job)
     if found is not None:
         _start(state, job, found)
         return True
+    if job.failed_workers:
+        _block(state, job, "no_capacity")
+        return False
     if reserved is not None and _try_on(
         state, job, reserved._replace(kind="backfill")
     ):
@@ -494,6 +497,28 @@
     return kept > 0 and free < wanted + kept
 
 
+def _find_avoiding(
+    ledger: ledgers.Ledger, job: model.Job
+) -> model.Placement | None:
+    """Return workers for a gang without those that failed it before.
+
+    A worker that fails everything is free again at once, so that the same
+    job would be given back to it until the job is given up.
+    """
+    avoided = set(job.failed_workers) & ledger.spaces.keys()
+    if len(avoided) >= len(ledger.spaces):
+        avoided = set()
+    blocked = tuple(
+        model.PartPlacement(worker_id, room)
+        for worker_id in sorted(avoided)
+        if (room := ledger.spaces[worker_id].rooms[ledgers.Room.ANY])
+    )
+    ledgers.take(ledger, job, blocked)
+    found = placements.find_placement(ledger, job)
+    ledgers.take(ledger, job, blocked, -1)
+    return found
+
+
 def _preempt(state: _Round, job: model.Job) -> bool:
     """Let a blocked job replace background work or move stoppable work."""
     if state.searches <= 0:
--- a/packages/daemon/src/cyclamenshelf_daemon/operatorviews.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/operatorviews.py
@@ -2,10 +2,12 @@
 
 from typing import Any
 
+from cyclamenshelf_core import burn
 from cyclamenshelf_core import errors
 from cyclamenshelf_core import guaranteereport
 from cyclamenshelf_core import model
 from cyclamenshelf_daemon import configuration
+from cyclamenshelf_daemon import endedjobs
 from cyclamenshelf_daemon import operatorcontext
 from cyclamenshelf_daemon import operatorjobs
 from cyclamenshelf_daemon import quarantinerows
@@ -13,6 +15,7 @@
 
 _MAX_VERSION = 99_999_999
 _MAX_WAIT_MS = 10_000
+_RETRY_AFTER_MS = 2_000
 
 
 def show_status(
@@ -57,6 +60,36 @@
     )
 
 
+def show_burn(
+    context: operatorcontext.OperatorContext, request: webserver.Request
+) -> webserver.Response:
+    """Return the service-level burn of each plan over the budget period."""
+    now_ms = context.clock.wall_ms()
+    lists = context.configuration.lists
+    try:
+        ended = list(
+            endedjobs.list_ended(
+                context.table,
+                context.cell,
+                now_ms - burn.BUDGET_PERIOD_MS,
+                now_ms,
+            )
+        )
+    except errors.StoreUnavailableError as error:
+        raise errors.StoreDownError(
+            str(error), retry_after_ms=_RETRY_AFTER_MS
+        ) from error
+
+    def get_plan_name(account: str) -> str:
+        listed = lists.accounts.get(account)
+        return listed.plan if listed else "(not listed)"
+
+    burns = burn.compute_burn(ended, get_plan_name, now_ms)
+    return webserver.make_json(
+        200, {"time_ms": now_ms, "burn": [burn.encode_burn(b) for b in burns]}
+    )
+
+
 def list_workers(
     context: operatorcontext.OperatorContext, request: webserver.Request
 ) -> webserver.Response:
@@ -236,6 +269,7 @@
 ROUTES: list[operatorcontext.Route] = [
     ("GET", "/v1/status", show_status),
     ("GET", "/v1/peers", show_peers),
+    ("GET", "/v1/burn", show_burn),
     ("GET", "/v1/workers", list_workers),
     ("GET", "/v1/accounts", list_accounts),
     ("GET", "/v1/guarantees", list_guarantees),
