Join the answers for refusals, drop the token bucket of one host

Change: refusals.make_refusal serves both; ratelimit is removed and its test now runs on shares.admit_request, whose burst is a quarter second.

--- a/packages/daemon/src/cyclamenshelf_daemon/callerapi.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/callerapi.py
@@ -12,6 +12,7 @@
 from cyclamenshelf_daemon import acceptance
 from cyclamenshelf_daemon import lookup
 from cyclamenshelf_daemon import refusallog
+from cyclamenshelf_daemon import refusals
 from cyclamenshelf_daemon import routing
 from cyclamenshelf_daemon import webserver
 
@@ -45,26 +46,6 @@
     )
 
 
-def make_refusal(refusal: errors.RequestRefusedError) -> webserver.Response:
-    """Return the HTTP answer for a refused request."""
-    headers: tuple[tuple[str, str], ...] = ()
-    if refusal.retry_after_ms is not None:
-        seconds = -(-refusal.retry_after_ms // 1000)
-        headers = (("Retry-After", str(seconds)),)
-    return webserver.make_json(
-        refusal.status,
-        {
-            "code": refusal.code,
-            "message": str(refusal),
-            "field": refusal.field,
-            "run": refusal.run,
-            "job_id": refusal.job_id,
-            "retry_after_ms": refusal.retry_after_ms,
-        },
-        headers,
-    )
-
-
 def _wrap(
     context: CallerContext, log: refusallog.RefusalLog, handle: Callable
 ) -> webserver.Handler:
@@ -77,7 +58,7 @@
         except errors.RequestRefusedError as refusal:
             now_ms = context.router.clock.now_ms()
             refusallog.note_refusal(log, request.path, refusal, now_ms)
-            return make_refusal(refusal)
+            return refusals.make_refusal(refusal)
 
     return handle_request
 
--- a/packages/daemon/src/cyclamenshelf_daemon/operatorapi.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/operatorapi.py
@@ -12,6 +12,7 @@
 from cyclamenshelf_daemon import operatorcontext
 from cyclamenshelf_daemon import operatorjobs
 from cyclamenshelf_daemon import operatorviews
+from cyclamenshelf_daemon import refusals
 from cyclamenshelf_daemon import webserver
 
 OperatorContext = operatorcontext.OperatorContext
@@ -53,23 +54,7 @@
 
 def make_refusal(refusal: errors.RequestRefusedError) -> webserver.Response:
     """Return the HTTP answer for a refused request of an operator."""
-    headers: tuple[tuple[str, str], ...] = ()
-    if refusal.retry_after_ms is not None:
-        seconds = -(-refusal.retry_after_ms // 1000)
-        headers = (("Retry-After", str(seconds)),)
-    return webserver.make_json(
-        refusal.status,
-        {
-            "code": refusal.code,
-            "message": str(refusal),
-            "field": refusal.field,
-            "run": refusal.run,
-            "job_id": refusal.job_id,
-            "retry_after_ms": refusal.retry_after_ms,
-        }
-        | _list_details(refusal),
-        headers,
-    )
+    return refusals.make_refusal(refusal, _list_details(refusal))
 
 
 def _list_details(refusal: errors.RequestRefusedError) -> dict[str, Any]:
--- a/packages/daemon/src/cyclamenshelf_daemon/routing.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/routing.py
@@ -29,7 +29,6 @@
 from cyclamenshelf_daemon import hostlist
 from cyclamenshelf_daemon import leaving
 from cyclamenshelf_daemon import logs
-from cyclamenshelf_daemon import ratelimit
 from cyclamenshelf_daemon import webserver
 
 DEFAULT_DEADLINE_MS = 10_000
@@ -73,7 +72,7 @@
         clock: clocks.Clock,
         limits: Limits,
         get_lists: Callable[[], model.Lists],
-        admit: ratelimit.Admit,
+        admit: Callable[[str], bool],
         generator: random.Random | None = None,
     ) -> None:
         self.pool = pool
--- a/testing/core/test_shares.py
+++ b/testing/core/test_shares.py
@@ -122,3 +122,23 @@
     report = shares.close_round(host, shares.ROUND_MS)
     expected = {shares.make_key(f"a{index}") for index in range(4, 12)}
     assert report.keys() == expected
+
+
+def test_rate_admits_a_burst_of_a_quarter_second_then_the_rate():
+    # A burst must not come back at once, nor take from another account.
+    alone = shares.Shares(0)
+    now_ms = 60_000
+
+    def admit(account, count):
+        return sum(
+            shares.admit_request(alone, account, 10, now_ms)
+            for _ in range(count)
+        )
+
+    assert admit("a", 50) == 2
+    admitted = 0
+    for _ in range(100):
+        now_ms += 50
+        admitted += admit("a", 5)
+    assert admitted == 50
+    assert admit("b", 50) == 2
