Give the control cost benchmark settings that the daemon accepts

Cause: the settings check refuses port 0 and keys under 16 bytes, so the daemons of the benchmark did not start. Change: ports and key of the benchmark.

--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -32,6 +32,7 @@
 _BUDGET = "budget: cpu 1.40% of a core, memory 128 MB, traffic 6 KB/s"
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 _PEER_PORT = 27_100
+_CALLER_PORT = 27_200
 _OPERATOR_PORT = 27_300
 _START_TIMEOUT_S = 60
 # UDP and IP headers of a datagram.
@@ -77,7 +78,7 @@
         )
         processes.append(platform)
         urls = json.loads(platform.stdout.readline())
-        (directory / "key").write_text("benchmark")
+        (directory / "key").write_text("key of the benchmark")
         daemons = [
             start_daemon(directory, index, urls, threads)
             for index in range(hosts)
@@ -106,7 +107,7 @@
                 "data_centre": "dc0",
                 "cell": "north",
                 "listen_host": "127.0.0.1",
-                "caller_port": 0,
+                "caller_port": _CALLER_PORT + index,
                 "operator_port": _OPERATOR_PORT + index,
                 "peer_port": _PEER_PORT + index,
                 "caller_threads": threads,
