Make the lapse of a lease in mid start certain in its test

Cause: the test released the second start before it lapsed the lease, and a renewal could prove the lease again in between. No start follows a lapsed check.

Ruled out: a start after a lapsed check; celllease.check_tenure is made before each send, and the wrapped start shows the order.

Change: the lapse and the release happen under one lock that renewals take too, and renewals fail until the second start has been checked. The expectation is unchanged.

--- a/testing/daemon/test_starts.py
+++ b/testing/daemon/test_starts.py
@@ -1,9 +1,12 @@
 """Starts of gangs under lost and late messages and unknown outcomes."""
 
+import threading
+
 import pytest
 from testing import cells
 
 from cyclamenshelf_core import errors
+from cyclamenshelf_daemon import celllease
 from cyclamenshelf_daemon import gangs
 from cyclamenshelf_daemon import workerclient
 
@@ -114,21 +117,36 @@
 ):
     # The check before the second start raised out of the operation, which
     # left the attempt in operation for ever, and its first part running.
-    start, started = workerclient.start_task, []
+    # A renewal must not prove the lease again before that check is made.
+    start, renew = workerclient.start_task, celllease.renew
+    started, refused = threading.Event(), threading.Event()
+    renewing = threading.Lock()
+
+    def renew_unless_lapsed(lease, tenure):
+        with renewing:
+            if started.is_set() and not refused.is_set():
+                raise errors.StoreUnavailableError("table", "lapsed by a test")
+            renew(lease, tenure)
 
     def lapse(*arguments):
         report = start(*arguments)
-        if not started:
-            started.append(True)
-            host.owner.tenure.valid_until_ms = 0
+        if not started.is_set():
+            with renewing:
+                host.owner.tenure.valid_until_ms = 0
+                started.set()
         return report
 
+    monkeypatch.setattr(celllease, "renew", renew_unless_lapsed)
     monkeypatch.setattr(workerclient, "start_task", lapse)
     start_part = gangs._start_part
 
     def start_in_order(tools, link, job, part, give_up_ms):
-        if part == 1:
-            cells.wait_until(lambda: started, "part 0 is started")
+        if part == 1 and not refused.is_set():
+            assert started.wait(cells.LIMIT_S)
+            try:
+                return start_part(tools, link, job, part, give_up_ms)
+            finally:
+                refused.set()
         return start_part(tools, link, job, part, give_up_ms)
 
     monkeypatch.setattr(gangs, "_start_part", start_in_order)
