--- a/packages/core/src/cyclamenshelf_core/clock.py
+++ b/packages/core/src/cyclamenshelf_core/clock.py
@@ -22,7 +22,9 @@
 def make_system_clock() -> Clock:
     """Return the clock of this process."""
     return Clock(
-        now_ms=lambda: time.monotonic_ns() // 1_000_000,
+        # Counts the time that the machine is suspended, so that a lease is
+        # seen to have lapsed after a wake-up.
+        now_ms=lambda: time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000,
         wall_ms=lambda: time.time_ns() // 1_000_000,
         sleep_ms=lambda duration_ms: time.sleep(duration_ms / 1000),
     )
--- a/packages/core/src/cyclamenshelf_core/errors.py
+++ b/packages/core/src/cyclamenshelf_core/errors.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from typing import Any
 from typing import NamedTuple
 
 
@@ -37,6 +38,12 @@
     """The store did not take the call: nothing was written."""
 
 
+class HistoryLostError(StoreError):
+    """The store no longer has the changes that were asked for."""
+
+    code = "history_lost"
+
+
 class OutcomeUnknownError(StoreError):
     """The store may or may not have applied the write."""
 
@@ -52,7 +59,7 @@
 
     code = "conflict"
 
-    def __init__(self, versions: dict[str, int]) -> None:
+    def __init__(self, versions: dict[Any, int]) -> None:
         super().__init__(f"rows at another version: {versions}")
         self.versions = versions
 
--- /dev/null
+++ b/packages/core/src/cyclamenshelf_core/taskprogress.py
@@ -0,0 +1,130 @@
+"""How far a job of steps has come, and its encoding as a row."""
+
+import enum
+import json
+from typing import Any
+
+from cyclamenshelf_core import taskjobs
+
+
+class State(enum.StrEnum):
+    """The state of a job as callers see it."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+ENDED = frozenset({State.COMPLETED, State.FAILED, State.CANCELLED})
+
+
+class Progress:
+    """How far a job has come.
+
+    Attributes:
+        queue: Queue of the job.
+        account: Client account of the job.
+        timed: Whether the job waits for set times.
+        done: Indexes of the tasks that have ended well, by group.
+        failed_runs: Numbers of the failed runs, by task; a gang counts
+            under its task 0. Kept as numbers, so that an end that a worker
+            lists again after a takeover is not counted twice.
+        checkpoints: Newest checkpoint, by task; a gang's under its task 0.
+        ended_ms: Unix time of the end; 0 before it.
+    """
+
+    def __init__(self, queue: str, account: str, timed: bool = False) -> None:
+        self.queue = queue
+        self.account = account
+        self.timed = timed
+        self.state = State.QUEUED
+        self.done: dict[taskjobs.Group, set[int]] = {}
+        self.failed_runs: dict[taskjobs.Task, set[int]] = {}
+        self.checkpoints: dict[taskjobs.Task, str] = {}
+        self.ended_ms = 0
+
+
+def is_done(progress: Progress, group: taskjobs.Group, tasks: int) -> bool:
+    """Return whether all tasks of a group have ended well."""
+    return len(progress.done.get(group, ())) >= tasks
+
+
+def is_job_done(progress: Progress, job: taskjobs.TaskJob) -> bool:
+    """Return whether every task of every occurrence has ended well."""
+    return all(
+        is_done(progress, taskjobs.Group(job.id, occurrence, number), s.tasks)
+        for occurrence in range(taskjobs.count_occurrences(job))
+        for number, s in enumerate(job.steps)
+    )
+
+
+def get_keeper(job: taskjobs.TaskJob, task: taskjobs.Task) -> taskjobs.Task:
+    """Return the task under which failures and checkpoints are kept."""
+    gang = job.steps[task.group.step].gang
+    return task._replace(index=0) if gang else task
+
+
+def has_open_steps_before(
+    progress: Progress, job: taskjobs.TaskJob, group: taskjobs.Group
+) -> bool:
+    """Return whether a step that the group waits for has not ended."""
+    return any(
+        not is_done(
+            progress, group._replace(step=number), job.steps[number].tasks
+        )
+        for number in job.steps[group.step].after
+    )
+
+
+def encode_progress(progress: Progress) -> bytes:
+    """Return the row value of a job's progress."""
+    return json.dumps(
+        {
+            "queue": progress.queue,
+            "account": progress.account,
+            "timed": progress.timed,
+            "state": progress.state,
+            "ended_ms": progress.ended_ms,
+            "done": {
+                f"{group.occurrence}.{group.step}": sorted(indexes)
+                for group, indexes in progress.done.items()
+            },
+            "failed_runs": {
+                _format(task): sorted(runs)
+                for task, runs in progress.failed_runs.items()
+            },
+            "checkpoints": {
+                _format(task): text
+                for task, text in progress.checkpoints.items()
+            },
+        },
+        separators=(",", ":"),
+    ).encode()
+
+
+def decode_progress(job_id: str, value: bytes) -> Progress:
+    """Return the progress of a row value."""
+    row: dict[str, Any] = json.loads(value)
+    progress = Progress(row["queue"], row["account"], row["timed"])
+    progress.state = State(row["state"])
+    progress.ended_ms = row["ended_ms"]
+    for name, indexes in row["done"].items():
+        occurrence, step = map(int, name.split("."))
+        group = taskjobs.Group(job_id, occurrence, step)
+        progress.done[group] = set(indexes)
+    for name, runs in row["failed_runs"].items():
+        progress.failed_runs[_parse(job_id, name)] = set(runs)
+    for name, text in row["checkpoints"].items():
+        progress.checkpoints[_parse(job_id, name)] = text
+    return progress
+
+
+def _format(task: taskjobs.Task) -> str:
+    return f"{task.group.occurrence}.{task.group.step}.{task.index}"
+
+
+def _parse(job_id: str, name: str) -> taskjobs.Task:
+    occurrence, step, index = map(int, name.split("."))
+    return taskjobs.Task(taskjobs.Group(job_id, occurrence, step), index)
--- a/packages/daemon/src/cyclamenshelf_daemon/logs.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/logs.py
@@ -4,18 +4,21 @@
 import re
 import sys
 from typing import Any
+from typing import TextIO
 
 import loguru
 
 _PLAIN = re.compile(r"[A-Za-z0-9_.:/+@-]+")
 
 
-def set_up_logs(host_id: str, level: str = "INFO") -> None:
-    """Send log lines to standard error, each with the host id."""
+def set_up_logs(
+    host_id: str, level: str = "INFO", stream: TextIO | None = None
+) -> None:
+    """Send log lines to a stream, else standard error, with the host id."""
     loguru.logger.remove()
     loguru.logger.configure(extra={"host": host_id})
     loguru.logger.add(
-        sys.stderr,
+        stream or sys.stderr,
         level=level,
         format=(
             "time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} "
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling of jobs made of steps of tasks."""
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -0,0 +1,122 @@
+"""An entry host of the task scheduler: wires its parts together."""
+
+from collections.abc import Callable
+import threading
+from typing import NamedTuple
+
+from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon.tasks import following
+from cyclamenshelf_daemon.tasks import jobstates
+from cyclamenshelf_daemon.tasks import knownlists
+from cyclamenshelf_daemon.tasks import owner as owners
+from cyclamenshelf_daemon.tasks import ownership
+from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks import queues
+from cyclamenshelf_daemon.tasks import submission
+
+# Lists that were not confirmed for this long may be out of force.
+MAX_LISTS_AGE_MS = 2_500
+# A host that has not reached the store for this long asks for no callers.
+_READY_AGE_MS = 1_800
+
+
+class HostContext(NamedTuple):
+    """What the outside provides.
+
+    Attributes:
+        holder: Name of this process, unlike that of any other life.
+        lists_key: Row of the operators' lists.
+        decode_lists: Returns the lists of that row, or None.
+        list_workers: See `owner.OwnerContext`.
+        lease_ms: Length of the leases of workers.
+        keep_ended_ms: How long the rows of ended jobs are kept.
+    """
+
+    store: ports.Store
+    workers: ports.Workers
+    clock: clocks.Clock
+    holder: str
+    lists_key: ports.RowKey
+    decode_lists: Callable[[ports.Row], queues.Lists | None]
+    list_workers: Callable[[int], list[ports.WorkerInfo]]
+    lease_ms: int
+    keep_ended_ms: int
+
+
+class Host(NamedTuple):
+    """A running host.
+
+    Attributes:
+        leaving: Set when the host is about to stop.
+        stopping: Set to end its threads and hand over what it owns.
+    """
+
+    known: knownlists.KnownLists
+    states: jobstates.JobStates
+    submissions: submission.Submissions
+    owner_thread: threading.Thread
+    leaving: threading.Event
+    stopping: threading.Event
+
+
+def start_host(context: HostContext) -> Host:
+    """Start the threads of a host."""
+    store, clock = context.store, context.clock
+    stopping = threading.Event()
+    known = knownlists.KnownLists(
+        context.lists_key, context.decode_lists, store, clock
+    )
+    states = jobstates.JobStates()
+    progress = following.Copy(
+        jobstates.PROGRESS_TABLE,
+        lambda rows: jobstates.note_rows(states, rows),
+    )
+    following.start_following(known.copy, store, clock, stopping)
+    following.start_following(progress, store, clock, stopping)
+    owner_context = owners.OwnerContext(
+        store,
+        context.workers,
+        clock,
+        context.list_workers,
+        lambda: known.lists,
+        context.lease_ms,
+        context.keep_ended_ms,
+    )
+    owner_thread = ownership.start_holding(
+        ownership.Ownership(
+            store,
+            clock,
+            context.holder,
+            lambda tenure: owners.start_owner(owner_context, tenure),
+            stopping=stopping,
+        )
+    )
+    logs.log_event("host_started", holder=context.holder)
+    return Host(
+        known,
+        states,
+        submission.Submissions(store, known, clock),
+        owner_thread,
+        threading.Event(),
+        stopping,
+    )
+
+
+def is_ready(host: Host) -> bool:
+    """Return whether the host wants new callers."""
+    age_ms = knownlists.get_age_ms(host.known)
+    return (
+        not host.leaving.is_set()
+        and host.known.lists.row_version > 0
+        and age_ms is not None
+        and age_ms < _READY_AGE_MS
+    )
+
+
+def hand_over(host: Host, timeout_ms: int) -> None:
+    """End what the host owns, so that another host takes over at once."""
+    host.leaving.set()
+    host.stopping.set()
+    host.owner_thread.join(timeout_ms / 1000)
+    logs.log_event("host_handed_over", ended=not host.owner_thread.is_alive())
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -0,0 +1,330 @@
+"""The owner's book of jobs and of the runs that hold room on workers."""
+
+import enum
+
+from cyclamenshelf_core import taskjobs
+from cyclamenshelf_core import taskprogress
+from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon.tasks import fleet
+from cyclamenshelf_daemon.tasks import ports
+
+_RUNS_PER_EPOCH = 1_000_000
+
+
+class Phase(enum.Enum):
+    """How far a run has come, as the owner knows."""
+
+    STARTING = enum.auto()
+    RUNNING = enum.auto()
+    STOPPING = enum.auto()
+    # The start got no answer and may be carried out late; a stop that is
+    # answered makes it harmless.
+    LOST = enum.auto()
+
+
+class Run:
+    """A run of a task that holds room on a worker, or may.
+
+    Attributes:
+        number: Number of the run; rises for each task.
+        since_ms: Monotonic time of the order.
+        acked_ms: When the worker is first known to have had the run.
+        stop_acked_ms: When a stop for it was answered.
+        stop_sent_ms: When a stop was last sent.
+        checkpoint: Newest checkpoint that the worker has shown.
+        reason: Why it is being stopped.
+    """
+
+    def __init__(
+        self, task: taskjobs.Task, number: int, worker_id: str, now_ms: int
+    ) -> None:
+        self.task = task
+        self.number = number
+        self.worker_id = worker_id
+        self.phase = Phase.STARTING
+        self.since_ms = now_ms
+        self.acked_ms: int | None = None
+        self.stop_acked_ms: int | None = None
+        self.stop_sent_ms: int | None = None
+        self.checkpoint = ""
+        self.checkpoint_ms = now_ms
+        self.reason = ""
+
+
+class Entry:
+    """A job in the book.
+
+    Attributes:
+        row_version: Version of the job's row, which tells its age.
+        progress_version: Version of its progress row.
+        dirty: Whether its progress has to be written.
+        not_before_ms: Monotonic time before which a group is not tried.
+    """
+
+    def __init__(
+        self,
+        job: taskjobs.TaskJob,
+        row_version: int,
+        progress: taskprogress.Progress,
+        progress_version: int,
+    ) -> None:
+        self.job = job
+        self.row_version = row_version
+        self.progress = progress
+        self.progress_version = progress_version
+        self.dirty = False
+        self.not_before_ms: dict[taskjobs.Group, int] = {}
+        self.tries: dict[taskjobs.Group, int] = {}
+
+
+class Ledger:
+    """All jobs and runs of a tenure.
+
+    Attributes:
+        stops: Runs for which a stop has to be sent.
+    """
+
+    def __init__(self, epoch: int) -> None:
+        self.epoch = epoch
+        self.jobs: dict[str, Entry] = {}
+        self.runs: dict[taskjobs.Task, Run] = {}
+        self.by_group: dict[taskjobs.Group, set[taskjobs.Task]] = {}
+        self.count = 0
+        self.stops: list[Run] = []
+
+
+def next_number(ledger: Ledger) -> int:
+    """Return a run number above all of this and earlier epochs."""
+    ledger.count += 1
+    return ledger.epoch * _RUNS_PER_EPOCH + ledger.count
+
+
+def get_step(entry: Entry, task: taskjobs.Task) -> taskjobs.Step | None:
+    """Return the step of a task, or None if the job has no such task."""
+    job, group = entry.job, task.group
+    if not (
+        group.step < len(job.steps)
+        and group.occurrence < taskjobs.count_occurrences(job)
+        and task.index < job.steps[group.step].tasks
+    ):
+        return None
+    return job.steps[group.step]
+
+
+def get_need(ledger: Ledger, run: Run) -> taskjobs.Resources:
+    """Return the room that a run holds."""
+    entry = ledger.jobs[run.task.group.job_id]
+    return entry.job.steps[run.task.group.step].need
+
+
+def add_run(ledger: Ledger, run: Run) -> None:
+    """Enter a run."""
+    ledger.runs[run.task] = run
+    ledger.by_group.setdefault(run.task.group, set()).add(run.task)
+
+
+def remove_run(ledger: Ledger, run: Run) -> None:
+    """Take a run out; its room is free."""
+    del ledger.runs[run.task]
+    members = ledger.by_group[run.task.group]
+    members.discard(run.task)
+    if not members:
+        del ledger.by_group[run.task.group]
+
+
+def list_group(ledger: Ledger, group: taskjobs.Group) -> list[Run]:
+    """Return the runs of a group."""
+    return [ledger.runs[task] for task in ledger.by_group.get(group, ())]
+
+
+def list_worker(ledger: Ledger, worker_id: str) -> list[Run]:
+    """Return the runs on a worker."""
+    return [run for run in ledger.runs.values() if run.worker_id == worker_id]
+
+
+def stop_run(ledger: Ledger, run: Run, reason: str) -> None:
+    """Have a run stopped, once."""
+    if run.phase in (Phase.STOPPING, Phase.LOST):
+        return
+    run.phase = Phase.STOPPING
+    run.reason = reason
+    ledger.stops.append(run)
+    logs.log_event(
+        "task_stopping",
+        task=taskjobs.format_task(run.task),
+        run=run.number,
+        worker=run.worker_id,
+        reason=reason,
+    )
+
+
+def lose_start(ledger: Ledger, run: Run) -> None:
+    """Note that the start of a run got no answer."""
+    if run.phase is Phase.STARTING:
+        ledger.stops.append(run)
+    run.phase = Phase.LOST
+    stop_others(ledger, run, "member_not_started")
+
+
+def stop_others(ledger: Ledger, run: Run, reason: str) -> None:
+    """Stop the other members of a run's gang, unless they have ended well."""
+    entry, group = ledger.jobs[run.task.group.job_id], run.task.group
+    step = entry.job.steps[group.step]
+    if not step.gang or taskprogress.is_done(entry.progress, group, step.tasks):
+        return
+    for other in list_group(ledger, run.task.group):
+        if other is not run and other.number == run.number:
+            stop_run(ledger, other, reason)
+
+
+def delay_group(
+    ledger: Ledger, group: taskjobs.Group, now_ms: int, delay_ms: int
+) -> None:
+    """Keep a group from being tried again for a while."""
+    ledger.jobs[group.job_id].not_before_ms[group] = now_ms + delay_ms
+
+
+def end_job(
+    ledger: Ledger,
+    entry: Entry,
+    state: taskprogress.State,
+    wall_ms: int,
+    reason: str,
+) -> None:
+    """End a job and stop what still runs of it."""
+    entry.progress.state = state
+    entry.progress.ended_ms = wall_ms
+    entry.progress.checkpoints.clear()
+    entry.dirty = True
+    logs.log_event(
+        "job_ended",
+        job=entry.job.id,
+        state=state,
+        reason=reason,
+        age_ms=wall_ms - entry.job.accepted_ms,
+    )
+    for run in list(ledger.runs.values()):
+        if run.task.group.job_id == entry.job.id:
+            stop_run(ledger, run, f"job_{state}")
+
+
+def apply_end(
+    ledger: Ledger,
+    worker: fleet.Worker,
+    end: ports.EndedTask,
+    now_ms: int,
+    wall_ms: int,
+) -> None:
+    """Take over the end of a run that a worker lists."""
+    worker.foreign.pop((end.name, end.run), None)
+    task = taskjobs.parse_task(end.name)
+    entry = ledger.jobs.get(task.group.job_id) if task else None
+    if task is None or entry is None or get_step(entry, task) is None:
+        return
+    run = ledger.runs.get(task)
+    if run is not None and (
+        run.number == end.run and run.worker_id == worker.info.id
+    ):
+        remove_run(ledger, run)
+        if end.kind is not ports.EndKind.DONE:
+            stop_others(ledger, run, f"member_{end.kind}")
+    logs.log_event(
+        "task_ended",
+        task=end.name,
+        run=end.run,
+        worker=worker.info.id,
+        kind=end.kind,
+        number=end.number,
+    )
+    if entry.progress.state not in taskprogress.ENDED:
+        _apply_to_job(ledger, worker, entry, task, end, now_ms, wall_ms)
+
+
+def _apply_to_job(
+    ledger: Ledger,
+    worker: fleet.Worker,
+    entry: Entry,
+    task: taskjobs.Task,
+    end: ports.EndedTask,
+    now_ms: int,
+    wall_ms: int,
+) -> None:
+    step = entry.job.steps[task.group.step]
+    keeper = taskprogress.get_keeper(entry.job, task)
+    if end.kind is ports.EndKind.DONE:
+        fleet.note_success(worker)
+        if not step.long_running:
+            _mark_done(ledger, entry, task, wall_ms)
+        return
+    if step.checkpointable and end.checkpoint:
+        known = entry.progress.checkpoints.get(keeper, "")
+        if end.checkpoint > known:
+            entry.progress.checkpoints[keeper] = end.checkpoint
+            entry.dirty = True
+    if end.kind is not ports.EndKind.FAILED:
+        return
+    if fleet.note_failure(worker, entry.job.id, now_ms):
+        logs.log_event(
+            "worker_quarantined",
+            "WARNING",
+            worker=worker.info.id,
+            until_ms=worker.quarantined_until_ms,
+        )
+    if step.long_running:
+        return
+    failed = entry.progress.failed_runs.setdefault(keeper, set())
+    failed.add(end.run)
+    entry.dirty = True
+    if len(failed) >= entry.job.max_attempts:
+        end_job(
+            ledger,
+            entry,
+            taskprogress.State.FAILED,
+            wall_ms,
+            f"{end.name} failed {len(failed)} times",
+        )
+
+
+def _mark_done(
+    ledger: Ledger, entry: Entry, task: taskjobs.Task, wall_ms: int
+) -> None:
+    step = entry.job.steps[task.group.step]
+    done = entry.progress.done.setdefault(task.group, set())
+    # One end of a gang stands for all its members.
+    done.update(range(step.tasks) if step.gang else (task.index,))
+    keeper = taskprogress.get_keeper(entry.job, task)
+    entry.progress.checkpoints.pop(keeper, None)
+    entry.progress.failed_runs.pop(keeper, None)
+    entry.dirty = True
+    run = ledger.runs.get(task)
+    if run is not None and not step.gang:
+        stop_run(ledger, run, "done_elsewhere")
+    if taskprogress.is_job_done(entry.progress, entry.job):
+        end_job(
+            ledger,
+            entry,
+            taskprogress.State.COMPLETED,
+            wall_ms,
+            "all_tasks_done",
+        )
+
+
+def requeue_run(ledger: Ledger, run: Run, now_ms: int, reason: str) -> None:
+    """Take out a run that is surely over without an end having been listed."""
+    entry = ledger.jobs[run.task.group.job_id]
+    step = entry.job.steps[run.task.group.step]
+    if step.checkpointable and run.checkpoint:
+        keeper = taskprogress.get_keeper(entry.job, run.task)
+        known = entry.progress.checkpoints.get(keeper, "")
+        entry.progress.checkpoints[keeper] = max(known, run.checkpoint)
+    remove_run(ledger, run)
+    stop_others(ledger, run, f"member_{reason}")
+    logs.log_event(
+        "task_requeued",
+        task=taskjobs.format_task(run.task),
+        run=run.number,
+        worker=run.worker_id,
+        phase=run.phase.name,
+        age_ms=now_ms - run.since_ms,
+        reason=reason,
+    )
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownership.py
@@ -0,0 +1,239 @@
+"""Holding the lease under which one host decides for the fleet.
+
+The lease row is renewed often; the epoch row changes only at a takeover, so
+that the owner's writes can be conditional on it. The epoch is also the fence
+of the orders to workers: once a worker has seen a newer one, an earlier owner
+can change nothing there.
+"""
+
+from collections.abc import Callable
+import json
+import threading
+from typing import NamedTuple
+
+from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_core import errors
+from cyclamenshelf_core import tenure as lease_times
+from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon import supervision
+from cyclamenshelf_daemon.tasks import ports
+
+TABLE = "cell"
+LEASE_KEY = ports.RowKey(TABLE, "lease")
+EPOCH_KEY = ports.RowKey(TABLE, "epoch")
+TTL_MS = 2_500
+RENEW_MS = 600
+# An owner whose lease is not proved any more keeps the leases of workers for
+# this long, so that running work outlasts a short outage of the store.
+CARETAKER_MS = 4_000
+_CALL_MS = 900
+_WATCH_MS = 700
+_RETRY_MS = 150
+
+
+class Tenure:
+    """One host's time as owner.
+
+    Attributes:
+        epoch_version: Version of the epoch row.
+        lease_version: Version of the lease row as last known.
+        proved_until_ms: Monotonic time until which the lease is proved.
+        known_workers: Ids of workers that an earlier owner gave leases to.
+        granted: Returns the ids of workers that this owner gives leases to.
+        ended: Set when the tenure is over.
+    """
+
+    def __init__(
+        self,
+        epoch: int,
+        version: int,
+        sent_ms: int,
+        known_workers: tuple[str, ...],
+    ) -> None:
+        self.epoch = epoch
+        self.epoch_version = version
+        self.lease_version = version
+        self.proved_until_ms = lease_times.compute_valid_until(sent_ms, TTL_MS)
+        self.known_workers = known_workers
+        self.granted: Callable[[], list[str]] = lambda: []
+        self.ended = threading.Event()
+
+
+class Ownership(NamedTuple):
+    """What holding the lease needs.
+
+    Attributes:
+        holder: Name of this process, unlike that of any other life.
+        on_acquired: Called with each new tenure.
+        stopping: Set to hand the lease over and stop.
+    """
+
+    store: ports.Store
+    clock: clocks.Clock
+    holder: str
+    on_acquired: Callable[[Tenure], object]
+    stopping: threading.Event
+
+
+class _Seen(NamedTuple):
+    """The lease row as last seen."""
+
+    version: int
+    since_ms: int
+
+
+def is_proved(tenure: Tenure, clock: clocks.Clock) -> bool:
+    """Return whether the lease is proved at this moment."""
+    return not tenure.ended.is_set() and (
+        clock.now_ms() < tenure.proved_until_ms
+    )
+
+
+def may_hold_workers(tenure: Tenure, clock: clocks.Clock) -> bool:
+    """Return whether the owner may still renew the leases of workers."""
+    return not tenure.ended.is_set() and (
+        clock.now_ms() < tenure.proved_until_ms + CARETAKER_MS
+    )
+
+
+def start_holding(ownership: Ownership) -> threading.Thread:
+    """Start the thread that takes and renews the lease; return it."""
+    thread = threading.Thread(
+        target=_run, args=(ownership,), name="ownership", daemon=True
+    )
+    thread.start()
+    return thread
+
+
+def _run(ownership: Ownership) -> None:
+    seen = _Seen(-1, 0)
+    while not ownership.stopping.is_set():
+        try:
+            seen = _watch_once(ownership, seen)
+        except errors.StoreError as error:
+            logs.log_event("lease_unread", "WARNING", detail=error)
+            ownership.stopping.wait(_RETRY_MS / 1000)
+
+
+def _watch_once(ownership: Ownership, seen: _Seen) -> _Seen:
+    """Read the lease; take it if it is free, else wait for a change."""
+    reading = ownership.store.read(TABLE, None, _CALL_MS)
+    now_ms = ownership.clock.now_ms()
+    rows = {row.key: row for row in reading.rows}
+    lease, epoch = rows.get(LEASE_KEY), rows.get(EPOCH_KEY)
+    version = lease.version if lease else 0
+    if version != seen.version:
+        seen = _Seen(version, now_ms)
+    value = json.loads(lease.value) if lease and lease.value else None
+    lapsed_ms = lease_times.compute_lapsed_at(seen.since_ms, TTL_MS)
+    if value is None or value["released"] or now_ms >= lapsed_ms:
+        tenure = _take(ownership, lease, epoch)
+        if tenure is not None:
+            _hold(ownership, tenure)
+        return _Seen(-1, 0)
+    wait_ms = min(_WATCH_MS, max(1, lapsed_ms - now_ms))
+    try:
+        ownership.store.follow(TABLE, reading.version, wait_ms)
+    except errors.HistoryLostError:
+        logs.log_event("history_lost", table=TABLE, version=reading.version)
+    return seen
+
+
+def _take(
+    ownership: Ownership, lease: ports.Row | None, epoch: ports.Row | None
+) -> Tenure | None:
+    number, workers = 0, ()
+    if lease is not None and lease.value:
+        workers = tuple(json.loads(lease.value)["workers"])
+    if epoch is not None and epoch.value:
+        number = json.loads(epoch.value)["epoch"]
+    sent_ms = ownership.clock.now_ms()
+    checks = {
+        LEASE_KEY: lease.version if lease else 0,
+        EPOCH_KEY: epoch.version if epoch else 0,
+    }
+    puts = {
+        LEASE_KEY: _make_row(ownership, number + 1, list(workers)),
+        EPOCH_KEY: json.dumps({"epoch": number + 1}).encode(),
+    }
+    try:
+        version = ownership.store.commit(
+            ports.Transaction(checks, puts), _CALL_MS
+        )
+    except (errors.WriteConflictError, errors.StoreError) as error:
+        logs.log_event("lease_not_taken", epoch=number + 1, detail=error)
+        return None
+    logs.log_event("lease_taken", epoch=number + 1, version=version)
+    return Tenure(number + 1, version, sent_ms, workers)
+
+
+def _make_row(
+    ownership: Ownership,
+    epoch: int,
+    workers: list[str],
+    released: bool = False,
+) -> bytes:
+    return json.dumps(
+        {
+            "holder": ownership.holder,
+            "epoch": epoch,
+            "released": released,
+            "workers": workers,
+        }
+    ).encode()
+
+
+def _hold(ownership: Ownership, tenure: Tenure) -> None:
+    """Renew the lease until the tenure ends or the host stops."""
+    try:
+        ownership.on_acquired(tenure)
+        while not ownership.stopping.is_set() and not tenure.ended.is_set():
+            started_ms = ownership.clock.now_ms()
+            renewed = supervision.run_logged(
+                "lease_renewal_failed", _renew, ownership, tenure, False
+            )
+            spent_ms = ownership.clock.now_ms() - started_ms
+            pause_ms = RENEW_MS - spent_ms if renewed else _RETRY_MS
+            tenure.ended.wait(max(0, pause_ms) / 1000)
+    finally:
+        lost = tenure.ended.is_set()
+        tenure.ended.set()
+    if not lost:
+        supervision.run_logged(
+            "lease_release_failed", _renew, ownership, tenure, True
+        )
+    logs.log_event("tenure_ended", epoch=tenure.epoch, lost=lost)
+
+
+def _renew(ownership: Ownership, tenure: Tenure, released: bool) -> None:
+    """Write the lease row once.
+
+    Raises:
+        errors.StoreError: Not written, or the outcome is unknown.
+    """
+    sent_ms = ownership.clock.now_ms()
+    row = _make_row(ownership, tenure.epoch, sorted(tenure.granted()), released)
+    transaction = ports.Transaction(
+        {
+            LEASE_KEY: tenure.lease_version,
+            EPOCH_KEY: tenure.epoch_version,
+        },
+        {LEASE_KEY: row},
+    )
+    try:
+        tenure.lease_version = ownership.store.commit(transaction, _CALL_MS)
+    except errors.WriteConflictError:
+        _settle(ownership, tenure)
+        return
+    tenure.proved_until_ms = lease_times.compute_valid_until(sent_ms, TTL_MS)
+
+
+def _settle(ownership: Ownership, tenure: Tenure) -> None:
+    """Tell an earlier write of this tenure from another owner's."""
+    reading = ownership.store.read(TABLE, None, _CALL_MS)
+    rows = {row.key: row for row in reading.rows}
+    lease, epoch = rows.get(LEASE_KEY), rows.get(EPOCH_KEY)
+    if lease is None or epoch is None or epoch.version != tenure.epoch_version:
+        tenure.ended.set()
+        return
+    tenure.lease_version = lease.version
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/writer.py
@@ -0,0 +1,112 @@
+"""Writing the progress of jobs under the fence of the tenure."""
+
+from collections.abc import Callable
+import queue
+import random
+import threading
+from typing import NamedTuple
+
+from cyclamenshelf_core import backoff
+from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_core import errors
+from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon import supervision
+from cyclamenshelf_daemon.tasks import ownership
+from cyclamenshelf_daemon.tasks import ports
+
+# Rows and bytes of one transaction, below the limits of the store.
+MAX_ROWS = 60
+MAX_BYTES = 600_000
+_CALL_MS = 900
+
+
+class Batch(NamedTuple):
+    """Rows to write together.
+
+    Attributes:
+        rows: Expected version and value by key; None deletes the row.
+        marks: Ends that are safe once this is written: time of birth and
+            number of the last one, by worker.
+    """
+
+    rows: dict[ports.RowKey, tuple[int, bytes | None]]
+    marks: dict[str, tuple[int, int]]
+
+
+class WriterContext(NamedTuple):
+    """What the writer needs.
+
+    Attributes:
+        on_written: Called with the batch and the version by key.
+    """
+
+    store: ports.Store
+    clock: clocks.Clock
+    tenure: ownership.Tenure
+    batches: queue.SimpleQueue
+    on_written: Callable[[Batch, dict[ports.RowKey, int]], None]
+
+
+def start_writer(context: WriterContext) -> threading.Thread:
+    """Start the thread that writes batches in turn; None ends it."""
+    thread = threading.Thread(
+        target=supervision.run_logged,
+        args=("writer_failed", _run, context),
+        name="progress-writer",
+        daemon=True,
+    )
+    thread.start()
+    return thread
+
+
+def _run(context: WriterContext) -> None:
+    generator = random.Random()
+    while (batch := context.batches.get()) is not None:
+        failures = 0
+        versions = {key: row[0] for key, row in batch.rows.items()}
+        while not context.tenure.ended.is_set():
+            written = _write_once(context, batch, versions)
+            if written is not None:
+                context.on_written(batch, written)
+                break
+            delay_ms = min(400, backoff.choose_delay(generator, failures))
+            context.clock.sleep_ms(delay_ms)
+            failures += 1
+
+
+def _write_once(
+    context: WriterContext,
+    batch: Batch,
+    versions: dict[ports.RowKey, int],
+) -> dict[ports.RowKey, int] | None:
+    """Write a batch; return the versions, or None to be called again.
+
+    Only the owner changes these rows, so a row at another version while the
+    epoch stands shows an earlier write of this tenure without an answer.
+    """
+    puts = {key: row[1] for key, row in batch.rows.items() if row[1]}
+    deletes = tuple(key for key, row in batch.rows.items() if not row[1])
+    epoch = {ownership.EPOCH_KEY: context.tenure.epoch_version}
+    transaction = ports.Transaction(epoch | versions, puts, deletes)
+    try:
+        version = context.store.commit(transaction, _CALL_MS)
+    except errors.WriteConflictError as conflict:
+        if ownership.EPOCH_KEY in conflict.versions:
+            logs.log_event(
+                "epoch_superseded", "WARNING", epoch=context.tenure.epoch
+            )
+            context.tenure.ended.set()
+            return None
+        versions.update(
+            {k: v for k, v in conflict.versions.items() if k in versions}
+        )
+        return None
+    except errors.StoreError as error:
+        logs.log_event(
+            "progress_not_written",
+            "WARNING",
+            rows=len(batch.rows),
+            detail=error,
+        )
+        return None
+    return {key: version for key in puts}
