--- /dev/null
+++ b/testing/core/taskbuilders.py
@@ -0,0 +1,70 @@
+"""Jobs of steps and workers for tests of the planner."""
+
+from cyclamenshelf_core import taskjobs
+from cyclamenshelf_core import taskplan
+from cyclamenshelf_core import taskspace
+
+CAPACITY = taskjobs.Resources(32_000, 64_000, 8)
+
+
+def make_step(tasks=1, accelerators=1, cpu_millis=1_000, **values):
+    need = taskjobs.Resources(cpu_millis, 1_000, accelerators)
+    return taskjobs.Step(tasks, need, values.pop("run_ms", 5_000), **values)
+
+
+def make_job(job_id="j1", *steps, **values):
+    job = taskjobs.TaskJob(
+        job_id,
+        "queue",
+        "account",
+        "service",
+        "payload",
+        steps or (make_step(),),
+        priority=1,
+        max_attempts=2,
+        slowdown_factor=3.0,
+        target_latency_ms=1_000,
+        repetitions=0,
+        start_at_ms=0,
+        interval_ms=0,
+        accepted_ms=1_000,
+    )
+    return job._replace(**values)
+
+
+def make_rooms(racks=2, per_rack=2, **free):
+    rooms = {}
+    for rack in range(racks):
+        for number in range(per_rack):
+            worker_id = f"w{rack}{number}"
+            rooms[worker_id] = taskspace.WorkerRoom(
+                worker_id,
+                f"r{rack}",
+                frozenset({"a", f"r{rack}"}),
+                "service",
+                free.get(worker_id, CAPACITY),
+            )
+    return rooms
+
+
+def make_waiting(job, step=0, spare_ms=10_000, guaranteed=False, indexes=None):
+    if indexes is None:
+        indexes = tuple(range(job.steps[step].tasks))
+    return taskplan.Waiting(
+        job, taskjobs.Group(job.id, 0, step), indexes, spare_ms, guaranteed
+    )
+
+
+def make_held(job, worker_id, index=0, step=0, **values):
+    held = taskplan.Held(
+        taskjobs.Task(taskjobs.Group(job.id, 0, step), index),
+        worker_id,
+        job.steps[step].need,
+        job.priority,
+        job.steps[step].gang,
+        job.steps[step].long_running,
+        lost_ms=1_000,
+        stopping=False,
+        guaranteed=False,
+    )
+    return held._replace(**values)
--- /dev/null
+++ b/testing/daemon/tasks/fakestore.py
@@ -0,0 +1,107 @@
+"""A table service in this process, behind the scheduler's store interface."""
+
+import threading
+
+from cyclamenshelf_core import errors
+from cyclamenshelf_daemon.tasks import ports
+
+
+class FakeStore:
+    """Rows with versions from one counter, and scripted faults.
+
+    Attributes:
+        script: What happens to the next commits: "ok", "down" (not done),
+            "lost" (done, unanswered) or "dropped" (not done, unanswered).
+        before_commit: Called before each commit takes effect.
+        history_from: Changes up to this version are forgotten.
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 1
+        self.changes = []
+        self.script = []
+        self.before_commit = lambda transaction: None
+        self.down = False
+        self.history_from = 0
+        self.commits = []
+        self.changed = threading.Condition()
+        self.store = ports.Store(self.commit, self.read, self.follow)
+
+    def put(self, table, key, value):
+        """Write a row as somebody else would."""
+        with self.changed:
+            self._apply(ports.Transaction({}, {ports.RowKey(table, key): value}))
+
+    def value(self, table, key):
+        row = self.rows.get(ports.RowKey(table, key))
+        return row and row.value
+
+    def commit(self, transaction, timeout_ms):
+        self.before_commit(transaction)
+        fault = self.script.pop(0) if self.script else "ok"
+        if self.down or fault == "down":
+            raise errors.StoreUnavailableError("table", "down")
+        if fault == "dropped":
+            raise errors.OutcomeUnknownError("table", "dropped")
+        with self.changed:
+            differ = {
+                key: found
+                for key, version in transaction.checks.items()
+                if (found := self._version_of(key)) != version
+            }
+            if differ:
+                raise errors.WriteConflictError(differ)
+            self._apply(transaction)
+            self.commits.append(transaction)
+            version = self.version
+        if fault == "lost":
+            raise errors.OutcomeUnknownError("table", "lost")
+        return version
+
+    def read(self, table, key, timeout_ms):
+        if self.down:
+            raise errors.StoreUnavailableError("table", "down")
+        with self.changed:
+            rows = [
+                row
+                for row in self.rows.values()
+                if row.key.table == table and key in (None, row.key.key)
+            ]
+            return ports.Reading(rows, self.version)
+
+    def follow(self, table, version, wait_ms):
+        if self.down:
+            raise errors.StoreUnavailableError("table", "down")
+        with self.changed:
+            if version < self.history_from:
+                raise errors.HistoryLostError("table", "forgotten")
+            self.changed.wait_for(
+                lambda: self._list_changes(table, version),
+                min(wait_ms, 50) / 1000,
+            )
+            return ports.Reading(
+                self._list_changes(table, version), self.version
+            )
+
+    def _list_changes(self, table, version):
+        return [
+            row
+            for row in self.changes
+            if row.key.table == table and row.version > version
+        ]
+
+    def _version_of(self, key):
+        row = self.rows.get(key)
+        return row.version if row else 0
+
+    def _apply(self, transaction):
+        self.version += 1
+        for key, value in transaction.puts.items():
+            row = ports.Row(key, self.version, value)
+            self.rows[key] = row
+            self.changes.append(row)
+        for key in transaction.deletes:
+            self.rows.pop(key, None)
+            self.changes.append(ports.Row(key, self.version, None))
+        self.changed.notify_all()
--- /dev/null
+++ b/testing/daemon/tasks/test_owner.py
@@ -0,0 +1,226 @@
+"""Owners of a fleet under lost orders, takeovers and lost workers."""
+
+import time
+
+from testing.core import taskbuilders as builders
+from testing.daemon.tasks import conftest
+
+from cyclamenshelf_core import taskprogress
+from cyclamenshelf_daemon.tasks import ownership
+from cyclamenshelf_daemon.tasks import ports
+
+State = taskprogress.State
+
+
+def test_job_runs_step_after_step_to_its_end(cell):
+    cell.take_over()
+    job_id = cell.submit(
+        builders.make_step(2), builders.make_step(1, after=(0,))
+    )
+    cell.wait_for_runs(job_id, 2)
+    cell.wait_for_state(job_id, State.RUNNING)
+    assert all(name.split(".")[2] == "0" for name, *_ in cell.list_runs(job_id))
+    cell.end_all(job_id)
+    cell.wait_for_runs(job_id, 3)
+    cell.end_all(job_id)
+    cell.wait_for_state(job_id, State.COMPLETED)
+    assert len(cell.list_runs(job_id)) == 3
+
+
+def test_end_is_confirmed_only_after_it_is_stored(cell):
+    # An end that is confirmed and not stored would be run again after a
+    # takeover.
+    cell.take_over()
+    job_id = cell.submit(builders.make_step(1))
+    cell.wait_for_runs(job_id, 1)
+    cell.wait_for_state(job_id, State.RUNNING)
+    worker = cell.find_worker(job_id)
+    cell.fake.down = True
+    cell.end_all(job_id)
+    time.sleep(0.3)
+    assert [end.number for end in worker.ended] == [1]
+    cell.fake.down = False
+    cell.wait_for_state(job_id, State.COMPLETED)
+    conftest.wait_until(lambda: not worker.ended, "the end is confirmed")
+
+
+def test_start_with_a_lost_answer_runs_once(cell):
+    for worker in cell.workers:
+        worker.lose_starts = 1
+    cell.take_over()
+    job_id = cell.submit(builders.make_step(1))
+    cell.wait_for_state(job_id, State.RUNNING)
+    cell.end_all(job_id)
+    cell.wait_for_state(job_id, State.COMPLETED)
+    assert len(cell.list_runs(job_id)) == 1
+
+
+def test_start_that_arrives_after_its_stop_does_not_run(cell):
+    # Orders without an answer may be carried out seconds later.
+    for worker in cell.workers:
+        worker.hold_starts = 2
+    cell.take_over()
+    job_id = cell.submit(builders.make_step(1))
+    cell.wait_for_runs(job_id, 1)
+    for worker in cell.workers:
+        worker.deliver()
+    cell.end_all(job_id)
+    cell.wait_for_state(job_id, State.COMPLETED)
+    assert len(cell.list_runs(job_id)) == 1
+
+
+def test_takeover_adopts_what_runs(cell):
+    cell.take_over()
+    job_id = cell.submit(builders.make_step(3))
+    cell.wait_for_runs(job_id, 3)
+    cell.take_over()
+    conftest.wait_until(cell.tenures[0].ended.is_set, "the old owner ends")
+    conftest.wait_until(
+        lambda: len(cell.owners[1].ledger.runs) == 3, "runs are adopted"
+    )
+    cell.end_all(job_id)
+    cell.wait_for_state(job_id, State.COMPLETED)
+    assert len(cell.list_runs(job_id)) == 3
+
+
+def test_end_listed_again_after_a_takeover_counts_once(cell):
+    # A failed run that was stored but not confirmed is listed to the next
+    # owner too; counted twice it would fail the job before its last attempt.
+    cell.take_over()
+    job_id = cell.submit(builders.make_step(1))
+    cell.wait_for_runs(job_id, 1)
+    worker = cell.find_worker(job_id)
+    name, number, _ = cell.list_runs(job_id)[0]
+    cell.end_all(job_id, ports.EndKind.FAILED)
+    cell.wait_for_runs(job_id, 2)
+    cell.tenures[0].ended.set()
+    with worker.lock:
+        worker.ended.append(
+            ports.EndedTask(9, name, number, ports.EndKind.FAILED, "")
+        )
+    cell.take_over()
+    conftest.wait_until(
+        lambda: all(w.epoch == 2 for w in cell.workers), "all fenced"
+    )
+    conftest.wait_until(lambda: not worker.ended, "the end is confirmed")
+    assert cell.read(job_id).state is State.RUNNING
+
+
+def test_old_jobs_wait_for_workers_that_may_run_them(cell):
+    # w0 runs the task and cannot be heard by the new owner: a second run
+    # elsewhere would be two at the same time.
+    cell.take_over()
+    job_id = cell.submit(builders.make_step(1, 8, data_rack="r0"))
+    cell.wait_for_runs(job_id, 1)
+    cell.workers[0].silent = True
+    cell.listed = cell.workers[1:]
+    cell.tenures[0].ended.set()
+    cell.take_over(known=("w0",))
+    fresh = cell.submit(builders.make_step(1))
+    cell.wait_for_runs(fresh, 1)
+    time.sleep(0.3)
+    assert len(cell.list_runs(job_id)) == 1
+
+
+def test_lost_worker_is_waited_for_until_its_lease_has_lapsed(cell):
+    cell.take_over(lease_ms=3_000)
+    job_id = cell.submit(builders.make_step(1, 8))
+    cell.wait_for_runs(job_id, 1)
+    cell.find_worker(job_id).silent = True
+    lost_ms = cell.clock.now_ms()
+    cell.wait_for_runs(job_id, 2)
+    assert cell.clock.now_ms() - lost_ms > 2_500
+
+
+def test_reborn_worker_has_lost_its_tasks(cell):
+    cell.take_over()
+    job_id = cell.submit(builders.make_step(1, 8))
+    cell.wait_for_runs(job_id, 1)
+    cell.wait_for_state(job_id, State.RUNNING)
+    cell.find_worker(job_id).crash()
+    cell.wait_for_runs(job_id, 2)
+    cell.end_all(job_id)
+    cell.wait_for_state(job_id, State.COMPLETED)
+
+
+def test_gang_shares_a_run_number_and_restarts_whole(cell):
+    cell.take_over()
+    job_id = cell.submit(builders.make_step(2, 8, gang=True))
+    cell.wait_for_runs(job_id, 2)
+    assert len({number for _, number, _ in cell.list_runs(job_id)}) == 1
+    name = next(iter(cell.workers[0].running))
+    cell.workers[0].end(name, ports.EndKind.FAILED)
+    cell.wait_for_runs(job_id, 4)
+    assert len({number for _, number, _ in cell.list_runs(job_id)}) == 2
+    cell.workers[1].end(next(iter(cell.workers[1].running)))
+    cell.wait_for_state(job_id, State.COMPLETED)
+
+
+def test_job_fails_after_its_last_attempt(cell):
+    cell.take_over()
+    job_id = cell.submit(builders.make_step(1))
+    for count in (1, 2):
+        cell.wait_for_runs(job_id, count)
+        cell.end_all(job_id, ports.EndKind.FAILED)
+    cell.wait_for_state(job_id, State.FAILED)
+    assert len(cell.list_runs(job_id)) == 2
+
+
+def test_stopped_task_goes_on_from_its_checkpoint(cell):
+    cell.take_over()
+    job_id = cell.submit(builders.make_step(1, checkpointable=True))
+    cell.wait_for_runs(job_id, 1)
+    cell.end_all(job_id, ports.EndKind.STOPPED, checkpoint="00bb")
+    cell.wait_for_runs(job_id, 2)
+    assert [run[2] for run in cell.list_runs(job_id)] == ["", "00bb"]
+
+
+def test_cancelled_job_is_stopped(cell):
+    cell.take_over()
+    job_id = cell.submit(builders.make_step(2))
+    cell.wait_for_runs(job_id, 2)
+    cell.fake.put("work", f"cancel.{job_id}", b"{}")
+    cell.wait_for_state(job_id, State.CANCELLED)
+    conftest.wait_until(
+        lambda: not any(w.running for w in cell.workers), "all are stopped"
+    )
+    assert len(cell.list_runs(job_id)) == 2
+
+
+def test_leaving_worker_gets_no_tasks(cell):
+    cell.workers[0].info = cell.workers[0].info._replace(draining_ms=2_000)
+    cell.take_over()
+    job_id = cell.submit(builders.make_step(9))
+    cell.wait_for_runs(job_id, 8)
+    time.sleep(0.2)
+    assert not cell.workers[0].started
+
+
+def test_unproved_lease_starts_nothing(cell):
+    tenure = cell.take_over()
+    tenure.proved_until_ms = 0
+    job_id = cell.submit(builders.make_step(1))
+    time.sleep(0.4)
+    assert not cell.list_runs(job_id)
+    assert not ownership.is_proved(tenure, cell.clock)
+
+
+def test_task_of_no_known_job_is_stopped(cell):
+    worker = cell.workers[0]
+    worker.running["00000000000000ff.0.0.0"] = 7
+    cell.take_over()
+    conftest.wait_until(lambda: not worker.running, "the task is stopped")
+
+
+def test_lost_answer_to_a_write_of_progress_is_settled(cell):
+    cell.take_over()
+    job_id = cell.submit(builders.make_step(1))
+    cell.wait_for_runs(job_id, 1)
+    cell.wait_for_state(job_id, State.RUNNING)
+    cell.fake.script = ["lost", "dropped", "down"]
+    cell.end_all(job_id)
+    cell.wait_for_state(job_id, State.COMPLETED)
+    worker = cell.workers
+    conftest.wait_until(
+        lambda: not any(w.ended for w in worker), "the end is confirmed"
+    )
