Decide again when a run is found missing, and at least each 200 ms

Cause: the owner decided again only after an end or an idle wait of 200 ms. With a look each few ms it is never idle, so tasks found missing and groups delayed after a refused start waited for the next end.

Failed first: test_start_that_arrives_after_its_stop_does_not_run and test_reborn_worker_has_lost_its_tasks (no second run within 20 s).

Change: a missing run counts as a change; decisions are at most 200 ms apart.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -73,6 +73,7 @@
         clear_ms: Monotonic time from which nothing of an earlier owner runs
             on a worker that has not answered.
         changed: Whether something has happened that a decision may turn on.
+        decided_ms: Monotonic time of the last decision.
     """
 
     def __init__(self, context: OwnerContext, tenure: ownership.Tenure) -> None:
@@ -84,6 +85,7 @@
         self.batches: queue.SimpleQueue = queue.SimpleQueue()
         self.writing = False
         self.changed = True
+        self.decided_ms = 0
         self.unheard: set[str] = set(tenure.known_workers)
         self.clear_ms = (
             context.clock.now_ms()
@@ -164,6 +166,7 @@
             _review(owner)
             if owner.changed and owner.listed:
                 owner.changed = False
+                owner.decided_ms = owner.context.clock.now_ms()
                 _decide(owner)
             _send_stops(owner)
             _flush(owner)
@@ -395,8 +398,8 @@
         return
     if look.born_ms > worker.info.born_ms:
         reports.lose_life(owner.ledger, worker, look.born_ms, now_ms)
-    before = worker.processed
-    reports.take_over(
+        owner.changed = True
+    changed = reports.take_over(
         owner.ledger,
         worker,
         sent_ms,
@@ -409,7 +412,7 @@
     if worker.info.id in owner.unheard:
         owner.unheard.discard(worker.info.id)
         owner.changed = True
-    owner.changed = owner.changed or worker.processed != before
+    owner.changed = owner.changed or changed
 
 
 def _note_fenced(owner: Owner, worker: fleet.Worker) -> None:
@@ -497,6 +500,9 @@
 def _review(owner: Owner) -> None:
     """Do what falls due by time alone."""
     now_ms = owner.context.clock.now_ms()
+    if now_ms - owner.decided_ms >= _TICK_MS:
+        # Groups that were delayed, and occurrences, fall due by time.
+        owner.changed = True
     for worker in list(owner.workers.values()):
         if reports.lapse(owner.ledger, worker, now_ms):
             owner.changed = True
@@ -516,8 +522,6 @@
     try:
         call = owner.calls.get(timeout=_TICK_MS / 1000)
     except queue.Empty:
-        # Groups that were delayed, and occurrences, fall due by time.
-        owner.changed = True
         return
     call()
     owner.context.clock.sleep_ms(_GATHER_MS)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
@@ -20,8 +20,8 @@
     look: ports.Look,
     times: planning.Times,
     stop_foreign: StopForeign,
-) -> None:
-    """Bring the book up to date with an answer.
+) -> bool:
+    """Bring the book up to date with an answer; return whether room changed.
 
     Args:
         ledger: The owner's book.
@@ -33,6 +33,7 @@
     """
     fleet.note_answer(worker, look.clock_ms, times.now_ms)
     ended = {(end.name, end.run) for end in look.ended}
+    before = worker.processed
     for end in sorted(look.ended):
         if end.number > worker.processed:
             ledgers.apply_end(ledger, worker, end, *times)
@@ -42,8 +43,10 @@
         _take_over_run(ledger, worker, running, times, stop_foreign)
     for key in worker.foreign.keys() - shown:
         del worker.foreign[key]
-    if look.complete:
-        _drop_missing(ledger, worker, sent_ms, shown | ended, times.now_ms)
+    dropped = look.complete and _drop_missing(
+        ledger, worker, sent_ms, shown | ended, times.now_ms
+    )
+    return dropped or worker.processed != before
 
 
 def lose_life(
@@ -157,12 +160,13 @@
     sent_ms: int,
     listed: set[tuple[str, int]],
     now_ms: int,
-) -> None:
+) -> bool:
     """Requeue runs that the worker no longer has and lists no end of.
 
     An answer shows a run only if the worker had it before it was asked, and
     rules out a late start only if a stop was answered before.
     """
+    dropped = False
     for run in ledgers.list_worker(ledger, worker.info.id):
         if (taskjobs.format_task(run.task), run.number) in listed:
             continue
@@ -172,3 +176,5 @@
             known_ms = run.acked_ms
         if known_ms is not None and known_ms < sent_ms:
             ledgers.requeue_run(ledger, run, now_ms, "not_listed")
+            dropped = True
+    return dropped
--- a/testing/daemon/tasks/fakestore.py
+++ b/testing/daemon/tasks/fakestore.py
@@ -31,7 +31,9 @@
     def put(self, table, key, value):
         """Write a row as somebody else would."""
         with self.changed:
-            self._apply(ports.Transaction({}, {ports.RowKey(table, key): value}))
+            self._apply(
+                ports.Transaction({}, {ports.RowKey(table, key): value})
+            )
 
     def value(self, table, key):
         row = self.rows.get(ports.RowKey(table, key))
