Trial: keep a worker of each rack from all lower priorities

A gang of priority 1 that needs every worker of a rack can no longer start: two tests of the planner fail.

--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -11,6 +11,10 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskspace
 
+# On each rack the emptiest workers, this many, are kept from tasks of each lower
+# priority, so that a group of the first priority starts without a stop, which
+# takes most of the time that its objective leaves.
+_KEPT_WORKERS = {1: 1}
 # How many blocked groups of lower priority keep room held for them at once.
 _MAX_HOLDING = 3
 # A gang of lower priority makes room for itself when this is all that is left
@@ -95,6 +99,7 @@
         self.stops: list[Stop] = []
         self.blocked: list[taskjobs.Group] = []
         self.holding = 0
+        self.kept: set[str] = set()
         for entry in held:
             self.by_group.setdefault(entry.task.group, []).append(entry)
             if entry.worker_id in self.by_worker:
@@ -131,7 +136,11 @@
         counts: Tasks by job, step and worker, of steps that spread.
     """
     state = _Round(workers, held, counts)
+    priority = 0
     for entry in sorted(waiting, key=_rank):
+        while priority < entry.job.priority:
+            priority += 1
+            _keep_workers(state, _KEPT_WORKERS.get(priority, 0))
         _serve(state, entry)
     return Plan(state.starts, state.stops, state.blocked)
 
@@ -147,6 +156,22 @@
     )
 
 
+def _keep_workers(state: _Round, count: int) -> None:
+    """Keep the emptiest workers of each rack from the groups that follow."""
+    free = state.space.free
+    racks: dict[str, list[str]] = {}
+    for worker in state.space.workers.values():
+        if worker.id not in state.kept:
+            racks.setdefault(worker.rack, []).append(worker.id)
+    for members in racks.values():
+        members.sort(key=lambda name: (free[name].accelerators, name))
+        # A rack of one or two workers is not kept: most of it would idle.
+        kept = members[-count:] if count and len(members) > 2 else []
+        for worker_id in kept:
+            state.kept.add(worker_id)
+            free[worker_id] = taskjobs.NOTHING
+
+
 def _serve(state: _Round, entry: Waiting) -> None:
     step = entry.job.steps[entry.group.step]
     far = _is_far_worth_it(state, entry)
