--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -11,10 +11,11 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskspace
 
-# On each rack the emptiest workers, this many, are kept from tasks of each lower
-# priority, so that a group of the first priority starts without a stop, which
-# takes most of the time that its objective leaves.
-_KEPT_WORKERS = {1: 1}
+# On each rack the emptiest workers, this many, are kept from single tasks of
+# the last priorities, so that urgent groups start without a stop, which takes
+# most of the time that their objective leaves.
+_KEPT_WORKERS = 1
+_KEPT_FROM_PRIORITY = 2
 # How many blocked groups of lower priority keep room held for them at once.
 _MAX_HOLDING = 3
 # A gang of lower priority makes room for itself when this is all that is left
@@ -136,11 +137,9 @@
         counts: Tasks by job, step and worker, of steps that spread.
     """
     state = _Round(workers, held, counts)
-    priority = 0
     for entry in sorted(waiting, key=_rank):
-        while priority < entry.job.priority:
-            priority += 1
-            _keep_workers(state, _KEPT_WORKERS.get(priority, 0))
+        if entry.job.priority >= _KEPT_FROM_PRIORITY and not state.kept:
+            _keep_workers(state)
         _serve(state, entry)
     return Plan(state.starts, state.stops, state.blocked)
 
@@ -156,18 +155,18 @@
     )
 
 
-def _keep_workers(state: _Round, count: int) -> None:
+def _keep_workers(state: _Round) -> None:
     """Keep the emptiest workers of each rack from the groups that follow."""
     free = state.space.free
     racks: dict[str, list[str]] = {}
     for worker in state.space.workers.values():
-        if worker.id not in state.kept:
-            racks.setdefault(worker.rack, []).append(worker.id)
+        racks.setdefault(worker.rack, []).append(worker.id)
     for members in racks.values():
-        members.sort(key=lambda name: (free[name].accelerators, name))
         # A rack of one or two workers is not kept: most of it would idle.
-        kept = members[-count:] if count and len(members) > 2 else []
-        for worker_id in kept:
+        if len(members) <= 2 * _KEPT_WORKERS:
+            continue
+        members.sort(key=lambda name: (free[name].accelerators, name))
+        for worker_id in members[-_KEPT_WORKERS:]:
             state.kept.add(worker_id)
             free[worker_id] = taskjobs.NOTHING
 
