--- /dev/null
+++ b/testing/platform/standin.py
@@ -0,0 +1,261 @@
+"""Stand-ins of the platform's store and of a runner, over HTTP.
+
+They answer as the users' pages say, as far as the adapter uses them.
+"""
+
+import base64
+import json
+import threading
+
+from testing.daemon.tasks import fakefleet
+from testing.daemon.tasks import fakestore
+
+from cyclamenshelf_core import errors
+from cyclamenshelf_daemon import webserver
+from cyclamenshelf_daemon.tasks import ports
+
+THREADS = 32
+
+
+class StoreServer:
+    """The platform's store.
+
+    Attributes:
+        fake: The rows behind it.
+        busy: Whether every call is refused with 503.
+    """
+
+    def __init__(self):
+        self.fake = fakestore.FakeStore()
+        self.busy = False
+        self.server = webserver.start_server(
+            "127.0.0.1", 0, self.handle, threads=THREADS, stop_timeout_s=0
+        )
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.server.port}"
+
+    def handle(self, request):
+        if self.busy:
+            return webserver.make_json(503, {})
+        return {
+            "/api/rows-tx": self.transact,
+            "/api/rows-get": self.read,
+            "/api/rows-feed": self.follow,
+        }[request.path](request)
+
+    def transact(self, request):
+        body = json.loads(request.body)
+        checks = {
+            decode_key(row): row["row_version"]
+            for row in body["expected_revision"]
+        }
+        transaction = ports.Transaction(
+            checks,
+            {
+                decode_key(row): base64.b64decode(row["value"])
+                for row in body["writes"]
+            },
+            tuple(decode_key(row) for row in body["remove"]),
+        )
+        try:
+            version = self.fake.commit(transaction, 0)
+        except errors.WriteConflictError:
+            current = [self.fake.rows[k] for k in checks if k in self.fake.rows]
+            return webserver.make_json(
+                412, {"rows": [encode_row(row) for row in current]}
+            )
+        return webserver.make_json(200, {"row_version": version, "now_ms": 1})
+
+    def read(self, request):
+        query = request.query
+        reading = self.fake.read(query["table"], None, 0)
+        rows = sorted(
+            (
+                row
+                for row in reading.rows
+                if row.key.key >= query.get("from", "")
+            ),
+            key=lambda row: row.key.key,
+        )
+        limit = min(500, int(query.get("limit", 500)))
+        return webserver.make_json(
+            200,
+            {
+                "rows": [encode_row(row) for row in rows[:limit]],
+                "has_more": len(rows) > limit,
+                "row_version": reading.version,
+                "now_ms": 1,
+            },
+        )
+
+    def follow(self, request):
+        query = request.query
+        try:
+            reading = self.fake.follow(
+                query["table"], int(query["after"]), int(query["wait_ms"])
+            )
+        except errors.HistoryLostError:
+            return webserver.make_json(410, {})
+        return webserver.make_json(
+            200,
+            {
+                "rows": [encode_row(row) for row in reading.rows],
+                "row_version": reading.version,
+                "now_ms": 1,
+            },
+        )
+
+
+class RunnerServer:
+    """A runner, by the rules of the fake worker behind it."""
+
+    def __init__(self, worker_id):
+        self.worker = fakefleet.FakeWorker(worker_id)
+        self.expected = []
+        self.changed = threading.Event()
+        self.server = webserver.start_server(
+            "127.0.0.1", 0, self.handle, threads=8, stop_timeout_s=0
+        )
+
+    def make_entry(self, **values):
+        """Return the runner's report about itself."""
+        return json.dumps(
+            {
+                "service": "svc",
+                "address": f"127.0.0.1:{self.server.port}",
+                "zone": "z",
+                "version": "v1",
+                "slots": 8,
+                "state": "ready",
+                "cold_remaining_ms": 0,
+                "capacity": {
+                    "cpu": 32_000,
+                    "memory_request_mb": 64_000,
+                    "gpu": 8,
+                },
+                "labels": ["a", "r1-3"],
+                "clock_ms": 1,
+                "sequence": 4,
+                "born": 1,
+            }
+            | values
+        ).encode()
+
+    def handle(self, request):
+        self.expected.append(request.headers["cyclamenshelf-expected-instance"])
+        body = json.loads(request.body)
+        call = {
+            "/api/run-start": self.start,
+            "/api/run-stop": self.stop,
+            "/api/hold": self.hold,
+        }[request.path]
+        return call(body)
+
+    def start(self, body):
+        order = ports.StartOrder(
+            self.worker.info,
+            body["task"],
+            body["run"],
+            body["specification"],
+            body.get("checkpoint", ""),
+            body["deadline_ms"],
+            body["fencing_token"],
+        )
+        return encode_refusal(self.worker.start(order, 0))
+
+    def stop(self, body):
+        order = ports.StopOrder(
+            self.worker.info, body["task"], body["run"], body["fencing_token"]
+        )
+        return encode_refusal(self.worker.stop(order, 0))
+
+    def hold(self, body):
+        renewal = ports.Renewal(
+            self.worker.info,
+            body["fencing_token"],
+            body.get("deadline_ms"),
+            body["last_seen"],
+            body["wait_ms"],
+        )
+        look = self.worker.look(lambda new: renewal)
+        if isinstance(look, ports.Refusal):
+            return encode_refusal(look)
+        return webserver.make_json(
+            200,
+            {
+                "clock_ms": look.clock_ms,
+                "born": look.born_ms,
+                "running": [
+                    [run.name, run.run, run.checkpoint, 100]
+                    for run in look.running
+                ],
+                "finished": [list(end) for end in look.ended],
+            },
+        )
+
+
+REASONS = {
+    ports.Refusal.FENCED: "fence",
+    ports.Refusal.OLD: "old",
+    ports.Refusal.NO_ROOM: "room",
+    ports.Refusal.LATE: "late",
+}
+
+
+def encode_refusal(refusal):
+    if refusal is None:
+        return webserver.make_json(200, {"clock_ms": 1})
+    return webserver.make_json(409, {"clock_ms": 1, "reason": REASONS[refusal]})
+
+
+def decode_key(row):
+    assert row["part"] == ""
+    return ports.RowKey(row["table"], row["key"])
+
+
+def encode_row(row):
+    encoded = {
+        "table": row.key.table,
+        "part": "",
+        "key": row.key.key,
+        "row_version": row.version,
+    }
+    if row.value is None:
+        return encoded | {"deleted": True}
+    return encoded | {"value": base64.b64encode(row.value).decode()}
+
+
+def make_config(version=7, keys=("key-1",)):
+    """Return the operators' row."""
+    return json.dumps(
+        {
+            "version": version,
+            "routes": [
+                {
+                    "name": "r-1",
+                    "host": "host.example",
+                    "path_prefix": "/q/",
+                    "kind": "non_idempotent",
+                    "timeout_ms": 3000,
+                    "target_latency_ms": 1000,
+                    "priority": 1,
+                    "service": "svc",
+                    "max_attempts": 2,
+                    "slowdown_factor": 3.0,
+                    "public": False,
+                }
+            ],
+            "services": [{"name": "svc", "rejects_overload": False}],
+            "limits": {},
+            "tenants": [
+                {
+                    "name": "t",
+                    "api_keys": list(keys),
+                    "priority": 1,
+                    "guaranteed": {"gpu": 8},
+                }
+            ],
+        }
+    ).encode()
