Write logs without blocking, serve counters and latencies of each host

Cause: a reader that stalls stopped every thread that logged, and on-call engineers had no figures beside the lines.

Change: lines go through a bounded queue to a writer thread, and what is left out is counted; events are counted by name, calls timed by method and status, and both are served on the first internal port.

Failed first: test_slow_reader_of_the_log_blocks_nobody; the counters in test_refusals_and_look_ups.

--- a/packages/daemon/src/cyclamenshelf_daemon/logs.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/logs.py
@@ -1,24 +1,39 @@
 """Structured logs: one line of key=value pairs for each event."""
 
+from collections.abc import Callable
 import json
+import queue
 import re
 import sys
+import threading
 from typing import Any
 from typing import TextIO
 
 import loguru
 
+# Lines that wait to be written; more are left out and counted.
+_MAX_WAITING_LINES = 2_000
 _PLAIN = re.compile(r"[A-Za-z0-9_.:/+@-]+")
 
 
 def set_up_logs(
-    host_id: str, level: str = "INFO", stream: TextIO | None = None
+    host_id: str,
+    level: str = "INFO",
+    sink: TextIO | Callable[[str], None] | None = None,
+    on_event: Callable[[str], None] | None = None,
 ) -> None:
-    """Send log lines to a stream, else standard error, with the host id."""
+    """Send log lines to a sink, else standard error, with the host id.
+
+    Args:
+        host_id: Named in each line.
+        level: Least severe level that is written.
+        sink: A stream, or a function that takes lines.
+        on_event: Called with the name of each event.
+    """
     loguru.logger.remove()
     loguru.logger.configure(extra={"host": host_id})
     loguru.logger.add(
-        stream or sys.stderr,
+        sink or sys.stderr,
         level=level,
         format=(
             "time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} "
@@ -27,11 +42,46 @@
         backtrace=False,
         diagnose=False,
     )
+    if on_event is not None:
+        loguru.logger.add(
+            lambda message: on_event(message.record["extra"]["event"]),
+            level=level,
+            format="",
+        )
+
+
+def start_bounded_sink(stream: TextIO) -> Callable[[str], None]:
+    """Start a thread that writes lines; return the function to hand them to.
+
+    The function never blocks: a line that comes while too many wait is left
+    out, and the next line that is written says how many were.
+    """
+    waiting: queue.Queue[str] = queue.Queue(_MAX_WAITING_LINES)
+    left_out = [0]
+
+    def write() -> None:
+        while True:
+            stream.write(waiting.get())
+            if left_out[0]:
+                count, left_out[0] = left_out[0], 0
+                stream.write(f"event=log_lines_left_out count={count}\n")
+            if waiting.empty():
+                stream.flush()
+
+    def take(line: str) -> None:
+        try:
+            waiting.put_nowait(str(line))
+        except queue.Full:
+            left_out[0] += 1
+
+    threading.Thread(target=write, name="log-writer", daemon=True).start()
+    return take
 
 
 def log_event(event: str, level: str = "INFO", **fields: Any) -> None:
     """Write one event; `fields` become key=value pairs."""
-    loguru.logger.log(level, "{}", format_event(event, fields))
+    line = format_event(event, fields)
+    loguru.logger.bind(event=event).log(level, "{}", line)
 
 
 def format_event(event: str, fields: dict[str, Any]) -> str:
--- a/testing/daemon/test_logs.py
+++ b/testing/daemon/test_logs.py
@@ -1,3 +1,5 @@
+import threading
+
 import pytest
 
 from cyclamenshelf_daemon import logs
@@ -18,3 +20,26 @@
 )
 def test_values_cannot_forge_a_pair_or_a_line(value, text):
     assert logs.format_event("e", {"k": value}) == f"event=e k={text}"
+
+
+def test_slow_reader_of_the_log_blocks_nobody():
+    # A full pipe stops the writer; lines are left out and counted instead.
+    reading = threading.Event()
+    written = []
+
+    class SlowStream:
+        def write(self, line):
+            reading.wait(20)
+            written.append(line)
+
+        def flush(self):
+            flushed.set()
+
+    flushed = threading.Event()
+    take = logs.start_bounded_sink(SlowStream())
+    for number in range(logs._MAX_WAITING_LINES + 10):
+        take(f"{number}\n")
+    assert not written
+    reading.set()
+    assert flushed.wait(20)
+    assert any("event=log_lines_left_out" in line for line in written)
--- a/testing/platform/test_host.py
+++ b/testing/platform/test_host.py
@@ -144,6 +144,11 @@
     assert site.call("a", "POST", body=BODY, key="key-2")[0] == 200
     assert site.call("a", "POST", body=BODY, key="key-1")[0] == 401
     assert site.call("a", "DELETE", key="key-2")[0] == 200
+    text = site.pool.request(
+        "GET", f"http://127.0.0.1:{site.ports['a'][2]}/metrics"
+    ).data.decode()
+    assert 'cyclamenshelf_events_total{event="job_stored"} 1' in text
+    assert 'cyclamenshelf_calls_ms_count{method="POST",status="200"} 1' in text
 
 
 def test_host_that_the_store_refuses_refuses_truly(site):
