--- a/packages/daemon/src/cyclamenshelf_daemon/logs.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/logs.py
@@ -7,6 +7,7 @@
 import sys
 import threading
 from typing import Any
+from typing import NamedTuple
 from typing import TextIO
 
 import loguru
@@ -50,23 +51,40 @@
         )
 
 
-def start_bounded_sink(stream: TextIO) -> Callable[[str], None]:
-    """Start a thread that writes lines; return the function to hand them to.
+class BoundedSink(NamedTuple):
+    """Lines that a thread of its own writes.
 
-    The function never blocks: a line that comes while too many wait is left
+    Attributes:
+        take: Takes a line and never blocks.
+        flush: Waits until all lines are written, or for a number of ms.
+    """
+
+    take: Callable[[str], None]
+    flush: Callable[[int], None]
+
+
+def start_bounded_sink(stream: TextIO) -> BoundedSink:
+    """Start the thread that writes the lines of a sink.
+
+    Taking never blocks: a line that comes while too many wait is left
     out, and the next line that is written says how many were.
     """
     waiting: queue.Queue[str] = queue.Queue(_MAX_WAITING_LINES)
     left_out = [0]
 
+    idle = threading.Event()
+
     def write() -> None:
         while True:
-            stream.write(waiting.get())
+            line = waiting.get()
+            idle.clear()
+            stream.write(line)
             if left_out[0]:
                 count, left_out[0] = left_out[0], 0
                 stream.write(f"event=log_lines_left_out count={count}\n")
             if waiting.empty():
                 stream.flush()
+                idle.set()
 
     def take(line: str) -> None:
         try:
@@ -74,8 +92,13 @@
         except queue.Full:
             left_out[0] += 1
 
+    def flush(limit_ms: int) -> None:
+        if not waiting.empty():
+            idle.clear()
+        idle.wait(limit_ms / 1000)
+
     threading.Thread(target=write, name="log-writer", daemon=True).start()
-    return take
+    return BoundedSink(take, flush)
 
 
 def log_event(event: str, level: str = "INFO", **fields: Any) -> None:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -11,6 +11,7 @@
 from cyclamenshelf_daemon.tasks import knownlists
 from cyclamenshelf_daemon.tasks import owner as owners
 from cyclamenshelf_daemon.tasks import ownership
+from cyclamenshelf_daemon.tasks import ownerstate
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import submission
@@ -28,7 +29,7 @@
         holder: Name of this host; one process at a time bears it.
         lists_key: Row of the operators' lists.
         decode_lists: Returns the lists of that row, or None.
-        list_workers: See `owner.OwnerContext`.
+        list_workers: See `ownerstate.OwnerContext`.
         lease_ms: Length of the leases of workers.
         keep_ended_ms: How long the rows of ended jobs are kept.
     """
@@ -74,7 +75,7 @@
     )
     following.start_following(known.copy, store, clock, stopping)
     following.start_following(progress, store, clock, stopping)
-    owner_context = owners.OwnerContext(
+    owner_context = ownerstate.OwnerContext(
         store,
         context.workers,
         clock,
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerjobs.py
@@ -0,0 +1,99 @@
+"""Jobs in the owner's book: loaded at a takeover, then as they come."""
+
+from cyclamenshelf_core import errors
+from cyclamenshelf_core import taskjobs
+from cyclamenshelf_core import taskprogress
+from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon.tasks import jobstates
+from cyclamenshelf_daemon.tasks import ledger as ledgers
+from cyclamenshelf_daemon.tasks import ownerstate
+from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks import submission
+
+_LIST_TIMEOUT_MS = 900
+_LOAD_RETRY_MS = 150
+
+
+def load_jobs(owner: ownerstate.Owner) -> None:
+    """Read all jobs and their progress, until the store answers."""
+    context = owner.context
+    while not owner.tenure.ended.is_set():
+        try:
+            work = context.store.read(
+                submission.WORK_TABLE, None, _LIST_TIMEOUT_MS
+            )
+            progress = context.store.read(
+                jobstates.PROGRESS_TABLE, None, _LIST_TIMEOUT_MS
+            )
+        except errors.StoreError as error:
+            logs.log_event("jobs_unread", "WARNING", detail=error)
+            context.clock.sleep_ms(_LOAD_RETRY_MS)
+            continue
+        known = {row.key.key: row for row in progress.rows}
+        for row in work.rows:
+            _add_job(owner, row, known)
+        _list_unheard(owner)
+        owner.work.rows = {row.key.key: row for row in work.rows}
+        owner.work.version = work.version
+        note_work(owner, [r for r in work.rows if _is_cancel(r)])
+        logs.log_event(
+            "jobs_loaded",
+            epoch=owner.tenure.epoch,
+            jobs=len(owner.ledger.jobs),
+            version=work.version,
+        )
+        return
+
+
+def _list_unheard(owner: ownerstate.Owner) -> None:
+    """Note the workers that may run tasks of an earlier owner."""
+    for entry in owner.ledger.jobs.values():
+        if entry.progress.state not in taskprogress.ENDED:
+            owner.unheard |= entry.progress.workers
+
+
+def _is_cancel(row: ports.Row) -> bool:
+    return row.key.key.startswith("cancel.")
+
+
+def _add_job(
+    owner: ownerstate.Owner, row: ports.Row, known: dict[str, ports.Row]
+) -> None:
+    kind, _, job_id = row.key.key.partition(".")
+    if kind != "job" or not row.value or job_id in owner.ledger.jobs:
+        return
+    job = taskjobs.decode_job(row.value)
+    found = known.get(job_id)
+    if found is not None and found.value:
+        progress = taskprogress.decode_progress(job_id, found.value)
+        version = found.version
+    else:
+        # The row was inserted with the job and is as new as it.
+        progress = taskprogress.Progress(
+            job.queue, job.account, job.repetitions > 0
+        )
+        version = row.version
+    owner.ledger.jobs[job_id] = ledgers.Entry(
+        job, row.version, progress, version
+    )
+    owner.changed = True
+
+
+def note_work(owner: ownerstate.Owner, rows: list[ports.Row]) -> None:
+    """Take over new jobs and cancellations."""
+    for row in rows:
+        if not _is_cancel(row):
+            _add_job(owner, row, {})
+    for row in rows:
+        entry = owner.ledger.jobs.get(row.key.key.partition(".")[2])
+        if not _is_cancel(row) or entry is None or row.value is None:
+            continue
+        if entry.progress.state not in taskprogress.ENDED:
+            ledgers.end_job(
+                owner.ledger,
+                entry,
+                taskprogress.State.CANCELLED,
+                owner.context.clock.wall_ms(),
+                "cancelled by its caller",
+            )
+            owner.changed = True
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerrows.py
@@ -0,0 +1,108 @@
+"""Rows that the owner writes: progress of jobs, and removal of old ones."""
+
+from cyclamenshelf_core import taskprogress
+from cyclamenshelf_daemon.tasks import jobstates
+from cyclamenshelf_daemon.tasks import ledger as ledgers
+from cyclamenshelf_daemon.tasks import ownerruns
+from cyclamenshelf_daemon.tasks import ownerstate
+from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks import submission
+from cyclamenshelf_daemon.tasks import writer
+
+
+def flush_rows(owner: ownerstate.Owner) -> None:
+    """Hand changed progress to the writer, one batch at a time."""
+    if owner.writing:
+        return
+    rows: dict[ports.RowKey, tuple[int, bytes | None]] = {}
+    starts: list[ledgers.Run] = []
+    size, complete = 0, True
+    for entry in owner.ledger.jobs.values():
+        if not entry.dirty:
+            continue
+        if len(rows) >= writer.MAX_ROWS or size >= writer.MAX_BYTES:
+            complete = False
+            break
+        _refresh_workers(owner, entry)
+        starts += ledgers.list_planned(owner.ledger, entry.job.id)
+        value = taskprogress.encode_progress(entry.progress)
+        key = submission.make_progress_key(entry.job.id)
+        rows[key] = (entry.progress_version, value)
+        size += len(value)
+        entry.dirty = False
+    marks = {}
+    if complete:
+        marks = {
+            worker_id: (worker.info.born_ms, worker.processed)
+            for worker_id, worker in owner.workers.items()
+            if worker.processed > worker.seen
+        }
+        _add_removals(owner, rows)
+    batch = writer.Batch(rows, marks, tuple(starts))
+    if rows:
+        owner.writing = True
+        owner.batches.put(batch)
+    elif marks:
+        _mark_stored(owner, marks)
+
+
+def _refresh_workers(owner: ownerstate.Owner, entry: ledgers.Entry) -> None:
+    """Bring the workers that may run tasks of a job up to date."""
+    unseen = entry.progress.workers & owner.unheard
+    entry.progress.workers = unseen | ledgers.list_job_workers(
+        owner.ledger, entry.job.id
+    )
+
+
+def _add_removals(
+    owner: ownerstate.Owner, rows: dict[ports.RowKey, tuple[int, bytes | None]]
+) -> None:
+    """Remove the rows of jobs that ended long ago."""
+    before_ms = owner.context.clock.wall_ms() - owner.context.keep_ended_ms
+    for entry in owner.ledger.jobs.values():
+        ended_ms = entry.progress.ended_ms
+        if not 0 < ended_ms < before_ms or len(rows) + 3 > writer.MAX_ROWS:
+            continue
+        job_id = entry.job.id
+        key = submission.make_progress_key(job_id)
+        if key in rows or _has_runs(owner, job_id):
+            continue
+        rows[key] = (entry.progress_version, None)
+        rows[submission.make_work_key(job_id)] = (entry.row_version, None)
+        cancel = submission.make_cancel_key(job_id)
+        found = owner.work.rows.get(cancel.key)
+        if found is not None:
+            rows[cancel] = (found.version, None)
+
+
+def _has_runs(owner: ownerstate.Owner, job_id: str) -> bool:
+    return any(group.job_id == job_id for group in owner.ledger.by_group)
+
+
+def note_written(
+    owner: ownerstate.Owner,
+    batch: writer.Batch,
+    versions: dict[ports.RowKey, int],
+) -> None:
+    """Take over that a batch is stored, and send what waited for it."""
+    owner.writing = False
+    for key, (_, value) in batch.rows.items():
+        if key.table != jobstates.PROGRESS_TABLE:
+            continue
+        if value is None:
+            owner.ledger.jobs.pop(key.key, None)
+        elif key.key in owner.ledger.jobs:
+            owner.ledger.jobs[key.key].progress_version = versions[key]
+    _mark_stored(owner, batch.marks)
+    for run in batch.starts:
+        ownerruns.send_start(owner, run)
+
+
+def _mark_stored(
+    owner: ownerstate.Owner, marks: dict[str, tuple[int, int]]
+) -> None:
+    for worker_id, (born_ms, number) in marks.items():
+        worker = owner.workers.get(worker_id)
+        if worker is not None and worker.info.born_ms == born_ms:
+            worker.seen = max(worker.seen, number)
+            worker.stored.set()
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
@@ -0,0 +1,132 @@
+"""Orders of the owner and what became of them."""
+
+from cyclamenshelf_core import taskjobs
+from cyclamenshelf_core import taskprogress
+from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon.tasks import ledger as ledgers
+from cyclamenshelf_daemon.tasks import orders
+from cyclamenshelf_daemon.tasks import ownerstate
+from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks import reports
+
+_TICK_MS = 200
+_RESEND_STOP_MS = 1_500
+
+
+def note_started(
+    owner: ownerstate.Owner, run: ledgers.Run, refusal: ports.Refusal | None
+) -> None:
+    """Take over the answer to a start."""
+    if not ownerstate.is_live(owner, run):
+        return
+    now_ms = owner.context.clock.now_ms()
+    if refusal is None:
+        if run.phase is ledgers.Phase.STARTING:
+            run.phase = ledgers.Phase.RUNNING
+        if run.acked_ms is None:
+            run.acked_ms = now_ms
+        _note_begun(owner, run)
+        return
+    logs.log_event(
+        "start_refused",
+        "WARNING",
+        task=taskjobs.format_task(run.task),
+        run=run.number,
+        worker=run.worker_id,
+        reason=refusal,
+    )
+    ownerstate.withdraw_run(owner, run, now_ms)
+    worker = owner.workers.get(run.worker_id)
+    if worker is not None and refusal is ports.Refusal.NO_ROOM:
+        worker.refused_ms = now_ms
+
+
+def note_not_sent(owner: ownerstate.Owner, run: ledgers.Run) -> None:
+    """Take out a run whose start never left."""
+    if ownerstate.is_live(owner, run):
+        ownerstate.withdraw_run(owner, run, owner.context.clock.now_ms())
+
+
+def note_unanswered(owner: ownerstate.Owner, run: ledgers.Run) -> None:
+    """Have a run stopped whose start got no answer."""
+    if ownerstate.is_live(owner, run):
+        logs.log_event(
+            "start_unanswered",
+            "WARNING",
+            task=taskjobs.format_task(run.task),
+            run=run.number,
+            worker=run.worker_id,
+        )
+        ledgers.lose_start(owner.ledger, run)
+
+
+def note_stopped(
+    owner: ownerstate.Owner, run: ledgers.Run, answered: bool
+) -> None:
+    """Take over whether a stop was answered."""
+    if answered and run.stop_acked_ms is None:
+        run.stop_acked_ms = owner.context.clock.now_ms()
+    if not answered:
+        run.stop_sent_ms = owner.context.clock.now_ms()
+
+
+def _note_begun(owner: ownerstate.Owner, run: ledgers.Run) -> None:
+    entry = owner.ledger.jobs[run.task.group.job_id]
+    if entry.progress.state is taskprogress.State.QUEUED:
+        entry.progress.state = taskprogress.State.RUNNING
+        entry.dirty = True
+
+
+def review_runs(owner: ownerstate.Owner) -> None:
+    """Do what falls due by time alone."""
+    now_ms = owner.context.clock.now_ms()
+    if now_ms - owner.decided_ms >= _TICK_MS:
+        # Groups that were delayed, and occurrences, fall due by time.
+        owner.changed = True
+    for worker in list(owner.workers.values()):
+        if reports.lapse(owner.ledger, worker, now_ms):
+            owner.changed = True
+    for run in owner.ledger.runs.values():
+        if (
+            run.phase in (ledgers.Phase.STOPPING, ledgers.Phase.LOST)
+            and run.stop_acked_ms is None
+            and run.stop_sent_ms is not None
+            and now_ms - run.stop_sent_ms > _RESEND_STOP_MS
+            and run not in owner.ledger.stops
+        ):
+            owner.ledger.stops.append(run)
+
+
+def send_start(owner: ownerstate.Owner, run: ledgers.Run) -> None:
+    """Send a run whose worker has been stored, unless it is over."""
+    worker = owner.workers.get(run.worker_id)
+    if (
+        not ownerstate.is_live(owner, run)
+        or run.phase is not ledgers.Phase.PLANNED
+    ):
+        return
+    if worker is None:
+        ownerstate.withdraw_run(owner, run, owner.context.clock.now_ms())
+        return
+    entry = owner.ledger.jobs[run.task.group.job_id]
+    keeper = taskprogress.get_keeper(entry.job, run.task)
+    run.phase = ledgers.Phase.STARTING
+    run.since_ms = run.checkpoint_ms = owner.context.clock.now_ms()
+    orders.send_start(
+        owner.orders,
+        worker,
+        run,
+        entry.job.payload,
+        entry.progress.checkpoints.get(keeper, ""),
+    )
+
+
+def send_stops(owner: ownerstate.Owner) -> None:
+    """Send the stops that have been decided, or are due again."""
+    stops, owner.ledger.stops = owner.ledger.stops, []
+    now_ms = owner.context.clock.now_ms()
+    for run in stops:
+        worker = owner.workers.get(run.worker_id)
+        run.stop_sent_ms = now_ms
+        if worker is not None and ownerstate.is_live(owner, run):
+            orders.send_stop(owner.orders, worker, run)
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
@@ -0,0 +1,171 @@
+"""Workers of the owner: listed, heard, leaving, forgotten."""
+
+from cyclamenshelf_core import errors
+from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon.tasks import fleet
+from cyclamenshelf_daemon.tasks import ledger as ledgers
+from cyclamenshelf_daemon.tasks import links
+from cyclamenshelf_daemon.tasks import orders
+from cyclamenshelf_daemon.tasks import ownerstate
+from cyclamenshelf_daemon.tasks import planning
+from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks import reports
+
+_LIST_POLL_MS = 400
+_LIST_TIMEOUT_MS = 900
+
+
+def poll_list(owner: ownerstate.Owner) -> None:
+    """Read the list of workers again and again."""
+    while not owner.tenure.ended.is_set():
+        try:
+            infos = owner.context.list_workers(_LIST_TIMEOUT_MS)
+        except errors.StoreError as error:
+            logs.log_event("workers_unread", "WARNING", detail=error)
+        else:
+            ownerstate.post(owner, lambda infos=infos: _note_list(owner, infos))
+        owner.tenure.ended.wait(_LIST_POLL_MS / 1000)
+
+
+def _note_list(owner: ownerstate.Owner, infos: list[ports.WorkerInfo]) -> None:
+    now_ms = owner.context.clock.now_ms()
+    listed = {info.id: info for info in infos}
+    for info in infos:
+        worker = owner.workers.get(info.id)
+        if worker is None:
+            _add_worker(owner, info)
+        else:
+            _update_worker(owner, worker, info, now_ms)
+    for worker_id, worker in list(owner.workers.items()):
+        if worker_id in listed:
+            continue
+        if worker.unlisted_ms is None:
+            worker.unlisted_ms = now_ms
+            logs.log_event("worker_unlisted", worker=worker_id)
+        _forget_worker(owner, worker, now_ms)
+    owner.unheard -= _list_heard(owner)
+    owner.listed = True
+
+
+def _list_heard(owner: ownerstate.Owner) -> set[str]:
+    """Return workers that have answered under this epoch."""
+    return {
+        worker_id
+        for worker_id, worker in owner.workers.items()
+        if worker.heard_ms is not None
+    }
+
+
+def _add_worker(owner: ownerstate.Owner, info: ports.WorkerInfo) -> None:
+    worker = fleet.Worker(info)
+    owner.workers[info.id] = worker
+    links.start_link(owner.links, worker)
+    logs.log_event(
+        "worker_listed",
+        worker=info.id,
+        rack=info.rack,
+        service=info.service,
+        born_ms=info.born_ms,
+    )
+
+
+def _update_worker(
+    owner: ownerstate.Owner,
+    worker: fleet.Worker,
+    info: ports.WorkerInfo,
+    now_ms: int,
+) -> None:
+    worker.unlisted_ms = None
+    if info.born_ms < worker.info.born_ms:
+        return  # An entry of an earlier life.
+    if info.born_ms > worker.info.born_ms:
+        reports.lose_life(owner.ledger, worker, info.born_ms, now_ms)
+        owner.changed = True
+    if info.address != worker.info.address:
+        worker.closing.set()
+        fresh = fleet.Worker(info)
+        owner.workers[info.id] = fresh
+        links.start_link(owner.links, fresh)
+        return
+    drains = info.draining_ms is not None and worker.info.draining_ms is None
+    worker.info = info
+    if drains:
+        owner.changed = True
+        logs.log_event(
+            "worker_draining", worker=info.id, left_ms=info.draining_ms
+        )
+        _empty_worker(owner, worker)
+
+
+def _empty_worker(owner: ownerstate.Owner, worker: fleet.Worker) -> None:
+    """Stop tasks that a leaving worker would end before they are done."""
+    left_ms = worker.info.draining_ms or 0
+    now_ms = owner.context.clock.now_ms()
+    for run in ledgers.list_worker(owner.ledger, worker.info.id):
+        entry = owner.ledger.jobs[run.task.group.job_id]
+        step = entry.job.steps[run.task.group.step]
+        rest_ms = step.expected_run_ms - (now_ms - run.since_ms)
+        if step.checkpointable or rest_ms > left_ms:
+            ledgers.stop_run(owner.ledger, run, "worker_draining")
+
+
+def _forget_worker(
+    owner: ownerstate.Owner, worker: fleet.Worker, now_ms: int
+) -> None:
+    """Drop a worker that is not listed, silent, and holds no lease."""
+    if not fleet.is_silent(worker, now_ms):
+        return
+    if now_ms < fleet.get_lapse_ms(worker):
+        return
+    if worker.heard_ms is None and now_ms < owner.clear_ms:
+        return
+    reports.lapse(owner.ledger, worker, now_ms)
+    worker.closing.set()
+    worker.stored.set()
+    del owner.workers[worker.info.id]
+    owner.unheard.discard(worker.info.id)
+    owner.changed = True
+    logs.log_event("worker_forgotten", worker=worker.info.id)
+
+
+def note_look(
+    owner: ownerstate.Owner,
+    worker: fleet.Worker,
+    sent_ms: int,
+    look: ports.Look,
+) -> None:
+    """Take over what a worker lists."""
+    if owner.workers.get(worker.info.id) is not worker:
+        return
+    now_ms = owner.context.clock.now_ms()
+    if look.born_ms < worker.info.born_ms:
+        return
+    if look.born_ms > worker.info.born_ms:
+        reports.lose_life(owner.ledger, worker, look.born_ms, now_ms)
+        owner.changed = True
+    changed = reports.take_over(
+        owner.ledger,
+        worker,
+        sent_ms,
+        look,
+        planning.Times(now_ms, owner.context.clock.wall_ms()),
+        lambda worker, name, number: orders.send_foreign_stop(
+            owner.orders, worker, name, number
+        ),
+    )
+    if worker.info.id in owner.unheard:
+        owner.unheard.discard(worker.info.id)
+        owner.changed = True
+    owner.changed = owner.changed or changed
+
+
+def note_fenced(owner: ownerstate.Owner, worker: fleet.Worker) -> None:
+    """End the tenure: a worker has seen a newer owner."""
+    if not owner.tenure.ended.is_set():
+        logs.log_event(
+            "fenced_by_worker",
+            "WARNING",
+            worker=worker.info.id,
+            epoch=owner.tenure.epoch,
+        )
+        owner.tenure.ended.set()
--- a/testing/daemon/tasks/conftest.py
+++ b/testing/daemon/tasks/conftest.py
@@ -14,6 +14,7 @@
 from cyclamenshelf_daemon.tasks import jobstates
 from cyclamenshelf_daemon.tasks import owner as owners
 from cyclamenshelf_daemon.tasks import ownership
+from cyclamenshelf_daemon.tasks import ownerstate
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import submission
@@ -54,7 +55,7 @@
         tenure = ownership.Tenure(
             epoch, row.version, self.clock.now_ms() + 3_600_000
         )
-        context = owners.OwnerContext(
+        context = ownerstate.OwnerContext(
             self.fake.store,
             fakefleet.make_workers(self.workers),
             self.clock,
--- a/testing/daemon/test_logs.py
+++ b/testing/daemon/test_logs.py
@@ -36,9 +36,9 @@
             flushed.set()
 
     flushed = threading.Event()
-    take = logs.start_bounded_sink(SlowStream())
+    sink = logs.start_bounded_sink(SlowStream())
     for number in range(logs._MAX_WAITING_LINES + 10):
-        take(f"{number}\n")
+        sink.take(f"{number}\n")
     assert not written
     reading.set()
     assert flushed.wait(20)
