Build the journaled job of a test without sending it to the table

A request that the stand-in still holds as the outage ends is applied then; the second body is refused, rightly, with KeyReusedError.

Ruled out as needed for it: an import by the owner (the trial holds the insert only).

Change: acceptance.make_job builds a job without I/O and the tests of the import use it; the asserts are unchanged. A new test covers the case itself: an insert that is applied after the job was journaled is the same job.

--- a/packages/daemon/src/cyclamenshelf_daemon/acceptance.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/acceptance.py
@@ -65,23 +65,13 @@
         raise errors.InvalidFieldError(
             "Idempotency-Key", f"1 to {MAX_KEY_LENGTH} characters", key
         )
-    wall_ms = context.clock.wall_ms()
-    spec = jobspec.parse_job_spec(body, wall_ms)
-    job = model.Job(
-        id=jobrows.make_job_id(account, key),
-        account=account,
-        cell=context.cell,
-        digest=jobrows.make_digest(body),
-        spec=spec,
-        state=model.JobState.QUEUED,
-        accepted_ms=wall_ms,
-    )
+    job = make_job(context.cell, account, key, body, context.clock.wall_ms())
     try:
         check_fits(
             context.get_lists(),
             context.host_list.hosts.workers,
             account,
-            spec.shape,
+            job.spec.shape,
         )
         _check_queue(context, account)
     except (errors.NeverFitsError, errors.QueueFullError) as refusal:
@@ -98,6 +88,25 @@
     return accepted
 
 
+def make_job(
+    cell: str, account: str, key: str, body: Any, wall_ms: int
+) -> model.Job:
+    """Return the job that a caller's body describes.
+
+    Raises:
+        errors.InvalidFieldError: A field of the body is missing or invalid.
+    """
+    return model.Job(
+        id=jobrows.make_job_id(account, key),
+        account=account,
+        cell=cell,
+        digest=jobrows.make_digest(body),
+        spec=jobspec.parse_job_spec(body, wall_ms),
+        state=model.JobState.QUEUED,
+        accepted_ms=wall_ms,
+    )
+
+
 def cancel_job(context: AcceptanceContext, job: model.Job) -> None:
     """Ask the cell owner to cancel a job.
 
--- a/testing/daemon/test_acceptance.py
+++ b/testing/daemon/test_acceptance.py
@@ -32,13 +32,15 @@
     platform.objects.objects[f"accept/{job.cell}/{job.id}"] = content
 
 
-def journal_one(platform, host, key, body=None):
-    """Return a job as a host journals it, without the journal entry."""
-    platform.table_faults.update({"down": True})
-    job = accept(host, key, body).job
-    platform.objects.objects.pop(f"accept/{cells.CELL}/{job.id}")
-    platform.table_faults.update({"down": False})
-    return job
+def make_journaled(key, body=None):
+    """Return a job as a host journals it; nothing is sent to the table.
+
+    An insert that was sent to a table that is down can be applied as soon as
+    it is back, so a job that a host has journaled may be in both stores.
+    """
+    return acceptance.make_job(
+        cells.CELL, cells.ACCOUNT, key, body or cells.make_body(), 1
+    )
 
 
 @pytest.mark.parametrize("fault", [{}, {"lose_answers": 3}, {"down": True}])
@@ -171,7 +173,7 @@
 
 def test_malformed_journal_objects_do_not_block_the_import(platform, host):
     # A value that did not parse ended the poller's thread.
-    job = journal_one(platform, host, "k")
+    job = make_journaled("k")
     prefix = f"accept/{cells.CELL}/"
     for index, content in enumerate([b"{", b"[]", b"{}", b"\xff", b"null"]):
         platform.objects.objects[f"{prefix}a{index}"] = content
@@ -201,7 +203,7 @@
 
 
 def test_journaled_job_is_checked_against_the_lists_at_import(platform, host):
-    job = journal_one(platform, host, "k")
+    job = make_journaled("k")
     shape = model.Shape(1, 64, model.Within.CELL)
     large = job._replace(spec=job.spec._replace(shape=shape))
     put_journaled(platform, large)
@@ -215,7 +217,7 @@
     platform, host
 ):
     # It was deleted from the journal without a trace.
-    other = journal_one(platform, host, "k", cells.make_body(2))
+    other = make_journaled("k", cells.make_body(2))
     first = accept(host, "k").job
     put_journaled(platform, other)
     prefix = f"rejected/{cells.CELL}/{first.id}/"
@@ -229,6 +231,24 @@
     assert job.digest == first.digest
 
 
+def test_insert_applied_after_the_job_was_journaled_is_the_same_job(
+    platform, host
+):
+    # The table takes longer than the host tries, so both stores hold the job.
+    platform.table_faults.update({"hold_ms": 1_000})
+    accepted = accept(host, "k")
+    assert accepted.journaled
+    job_id = accepted.job.id
+    cells.wait_until(
+        lambda: f"job/{job_id}" in platform.table.rows, "the late insert"
+    )
+    platform.table_faults.update({"hold_ms": 0})
+    with pytest.raises(errors.KeyReusedError):
+        accept(host, "k", cells.make_body(2))
+    cells.wait_for_state(platform, job_id, "succeeded", limit_s=8)
+    assert cells.count_whole(cells.list_runs(platform, job_id), 1) == 1
+
+
 def test_transactions_of_a_group_fail_by_their_own_checks(platform, host):
     committer = host.acceptance.committer
     futures = [
