Keep batches of progress below the entries of one transaction

Cause: a batch held up to 60 rows, each with its expected version, and the epoch row: 121 entries, while the store allows 100. It answers such a call with 400, which was taken for a store that is away, so the writer sent the same batch again without an end and no job made progress any more. It needs 50 jobs that change between two writes, as on large sites or after an outage.

Change: 48 rows a batch.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/writer.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/writer.py
@@ -15,8 +15,9 @@
 from cyclamenshelf_daemon.tasks import ownership
 from cyclamenshelf_daemon.tasks import ports
 
-# Rows and bytes of one transaction, below the limits of the store.
-MAX_ROWS = 60
+# Rows and bytes of one transaction. The store allows 100 entries, and each row
+# takes two: its expected version and its value. One is the epoch row's.
+MAX_ROWS = 48
 MAX_BYTES = 600_000
 _CALL_MS = 900
 
--- a/testing/daemon/tasks/fakestore.py
+++ b/testing/daemon/tasks/fakestore.py
@@ -5,6 +5,9 @@
 from cyclamenshelf_core import errors
 from cyclamenshelf_daemon.tasks import ports
 
+# Checks, puts and deletes of one transaction.
+MAX_ENTRIES = 100
+
 
 class FakeStore:
     """Rows with versions from one counter, and scripted faults.
@@ -40,6 +43,9 @@
         return row and row.value
 
     def commit(self, transaction, timeout_ms):
+        entries = sum(map(len, transaction))
+        if entries > MAX_ENTRIES:
+            raise errors.StoreUnavailableError("table", f"{entries} entries")
         self.before_commit(transaction)
         fault = self.script.pop(0) if self.script else "ok"
         if self.down or fault == "down":
--- a/testing/daemon/tasks/test_owner.py
+++ b/testing/daemon/tasks/test_owner.py
@@ -260,3 +260,17 @@
     conftest.wait_until(
         lambda: not any(w.ended for w in worker), "the end is confirmed"
     )
+
+
+def test_many_jobs_that_change_at_once_are_stored_in_parts(cell):
+    # A batch of 50 rows with their checks was refused by the store for good.
+    jobs = [
+        cell.submit(builders.make_step(accelerators=0, cpu_millis=1))
+        for _ in range(150)
+    ]
+    cell.take_over()
+    for job_id in jobs:
+        cell.wait_for_runs(job_id, 1)
+        cell.end_all(job_id)
+    for job_id in jobs:
+        cell.wait_for_state(job_id, State.COMPLETED)
