Read states of jobs from the store when asked

Ruled out: waiting longer between two calls of a host (states would be shown late, which jobs pay for); a summary row of the owner for the counts (stale while there is no owner).

Change: a look-up reads one row; states of ended jobs are kept, and the last state read is shown while the store is silent. The count of waiting jobs comes from rows that are written with the job and removed with its first start. Dead state (refused_ms, tries) is gone.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/commands.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/commands.py
@@ -100,7 +100,7 @@
         errors.StoreDownError: Not known here, and the store is silent.
     """
     try:
-        return submission.read_state(host.submissions, host.states, job_id)
+        return jobstates.read_state(host.states, host.submissions.store, job_id)
     except errors.StoreUnavailableError as error:
         raise errors.StoreDownError(
             str(error), retry_after_ms=_RETRY_MS
@@ -108,5 +108,16 @@
 
 
 def count_pending(host: hosts.Host, admission: submission.Admission) -> int:
-    """Return the accepted jobs of a queue of which no task has started."""
-    return jobstates.count_queued(host.states, admission.queue.name)
+    """Return the accepted jobs of a queue of which no task has started.
+
+    Raises:
+        errors.StoreDownError: The store is silent.
+    """
+    try:
+        return jobstates.count_queued(
+            host.submissions.store, admission.queue.name
+        )
+    except errors.StoreUnavailableError as error:
+        raise errors.StoreDownError(
+            str(error), retry_after_ms=_RETRY_MS
+        ) from error
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
@@ -35,7 +35,6 @@
         foreign: Room of runs there that the owner has no use for.
         failures: Jobs whose tasks failed there in a row.
         quarantined_until_ms: Until when it is left out.
-        refused_ms: When it last refused a start for want of room.
     """
 
     def __init__(self, info: ports.WorkerInfo) -> None:
@@ -50,7 +49,6 @@
         self.foreign: dict[RunKey, taskjobs.Resources] = {}
         self.failures: list[str] = []
         self.quarantined_until_ms = 0
-        self.refused_ms = -1_000_000
         self.closing = threading.Event()
         self.lock = threading.Lock()
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -68,13 +68,7 @@
     known = knownlists.KnownLists(
         context.lists_key, context.decode_lists, store, clock
     )
-    states = jobstates.JobStates()
-    progress = following.Copy(
-        jobstates.PROGRESS_TABLE,
-        lambda rows: jobstates.note_rows(states, rows),
-    )
     following.start_following(known.copy, store, clock, stopping)
-    following.start_following(progress, store, clock, stopping)
     owner_context = ownerstate.OwnerContext(
         store,
         context.workers,
@@ -96,7 +90,7 @@
     logs.log_event("host_started", holder=context.holder)
     return Host(
         known,
-        states,
+        jobstates.JobStates(),
         submission.Submissions(store, known, clock),
         owner_thread,
         threading.Event(),
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -60,6 +60,7 @@
         row_version: Version of the job's row, which tells its age.
         progress_version: Version of its progress row.
         dirty: Whether its progress has to be written.
+        queued: Whether its row among the queued jobs stands.
         not_before_ms: Monotonic time before which a group is not tried.
     """
 
@@ -75,8 +76,10 @@
         self.progress = progress
         self.progress_version = progress_version
         self.dirty = False
+        self.queued = (
+            progress.state is taskprogress.State.QUEUED and not progress.timed
+        )
         self.not_before_ms: dict[taskjobs.Group, int] = {}
-        self.tries: dict[taskjobs.Group, int] = {}
 
 
 class Ledger:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerrows.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerrows.py
@@ -9,6 +9,8 @@
 from cyclamenshelf_daemon.tasks import submission
 from cyclamenshelf_daemon.tasks import writer
 
+_QUEUED = taskprogress.State.QUEUED
+
 
 def flush_rows(owner: ownerstate.Owner) -> None:
     """Hand changed progress to the writer, one batch at a time."""
@@ -20,16 +22,21 @@
     for entry in owner.ledger.jobs.values():
         if not entry.dirty:
             continue
-        if len(rows) >= writer.MAX_ROWS or size >= writer.MAX_BYTES:
+        if len(rows) + 2 > writer.MAX_ROWS or size >= writer.MAX_BYTES:
             complete = False
             break
         _refresh_workers(owner, entry)
         starts += ledgers.list_planned(owner.ledger, entry.job.id)
         value = taskprogress.encode_progress(entry.progress)
-        key = submission.make_progress_key(entry.job.id)
+        key = jobstates.make_progress_key(entry.job.id)
         rows[key] = (entry.progress_version, value)
         size += len(value)
         entry.dirty = False
+        if entry.queued and entry.progress.state is not _QUEUED:
+            # Inserted with the job, so it has the version of the job's row.
+            queued = jobstates.make_queued_key(entry.job.queue, entry.job.id)
+            rows[queued] = (entry.row_version, None)
+            entry.queued = False
     marks = {}
     if complete:
         marks = {
@@ -64,7 +71,7 @@
         if not 0 < ended_ms < before_ms or len(rows) + 3 > writer.MAX_ROWS:
             continue
         job_id = entry.job.id
-        key = submission.make_progress_key(job_id)
+        key = jobstates.make_progress_key(job_id)
         if key in rows or _has_runs(owner, job_id):
             continue
         rows[key] = (entry.progress_version, None)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
@@ -36,9 +36,6 @@
         reason=refusal,
     )
     ownerstate.withdraw_run(owner, run, now_ms)
-    worker = owner.workers.get(run.worker_id)
-    if worker is not None and refusal is ports.Refusal.NO_ROOM:
-        worker.refused_ms = now_ms
 
 
 def note_not_sent(owner: ownerstate.Owner, run: ledgers.Run) -> None:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
@@ -57,6 +57,9 @@
         read: Returns a table's rows, all or from one key only. Arguments:
             table, key or None, time limit in ms. Raises
             errors.StoreUnavailableError.
+        list_keys: Returns the keys of a table that begin with a prefix.
+            Arguments: table, prefix, time limit in ms. Raises
+            errors.StoreUnavailableError.
         follow: Waits for changes of a table after a version. Arguments:
             table, version, how long to wait in ms. Raises
             errors.StoreUnavailableError or errors.HistoryLostError.
@@ -64,6 +67,7 @@
 
     commit: Callable[[Transaction, int], int]
     read: Callable[[str, str | None, int], Reading]
+    list_keys: Callable[[str, str, int], list[str]]
     follow: Callable[[str, int, int], Reading]
 
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/submission.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/submission.py
@@ -69,11 +69,6 @@
     return ports.RowKey(WORK_TABLE, f"cancel.{job_id}")
 
 
-def make_progress_key(job_id: str) -> ports.RowKey:
-    """Return the row of a job's progress."""
-    return ports.RowKey(jobstates.PROGRESS_TABLE, job_id)
-
-
 def admit(lists: queues.Lists, caller: Caller) -> Admission | Accepted:
     """Return the queue and account of a request, or why there is none."""
     queue = queues.find_queue(lists, caller.host, caller.path)
@@ -188,15 +183,18 @@
 def _make_insert(
     job: taskjobs.TaskJob, lists_key: ports.RowKey, lists: queues.Lists
 ) -> ports.Transaction:
-    progress = taskprogress.Progress(
-        job.queue, job.account, job.repetitions > 0
-    )
+    timed = job.repetitions > 0
+    progress = taskprogress.Progress(job.queue, job.account, timed)
+    puts = {
+        make_work_key(job.id): taskjobs.encode_job(job),
+        jobstates.make_progress_key(job.id): taskprogress.encode_progress(
+            progress
+        ),
+    }
+    if not timed:
+        puts[jobstates.make_queued_key(job.queue, job.id)] = b"{}"
     return ports.Transaction(
-        {make_work_key(job.id): 0, lists_key: lists.row_version},
-        {
-            make_work_key(job.id): taskjobs.encode_job(job),
-            make_progress_key(job.id): taskprogress.encode_progress(progress),
-        },
+        {make_work_key(job.id): 0, lists_key: lists.row_version}, puts
     )
 
 
@@ -234,20 +232,3 @@
             continue
         logs.log_event("cancel_stored", job=job_id)
         return True
-
-
-def read_state(
-    context: Submissions, known: jobstates.JobStates, job_id: str
-) -> taskprogress.State | None:
-    """Return the state of a job, or None if there is no such job.
-
-    Raises:
-        errors.StoreUnavailableError: Not known here, and the store is silent.
-    """
-    state = known.states.get(job_id)
-    if state is not None:
-        return state
-    reading = context.store.read(jobstates.PROGRESS_TABLE, job_id, 2 * _TRY_MS)
-    if not reading.rows or reading.rows[0].value is None:
-        return None
-    return taskprogress.decode_progress(job_id, reading.rows[0].value).state
--- a/testing/daemon/tasks/fakestore.py
+++ b/testing/daemon/tasks/fakestore.py
@@ -29,7 +29,9 @@
         self.history_from = 0
         self.commits = []
         self.changed = threading.Condition()
-        self.store = ports.Store(self.commit, self.read, self.follow)
+        self.store = ports.Store(
+            self.commit, self.read, self.list_keys, self.follow
+        )
 
     def put(self, table, key, value):
         """Write a row as somebody else would."""
@@ -78,6 +80,13 @@
             ]
             return ports.Reading(rows, self.version)
 
+    def list_keys(self, table, prefix, timeout_ms):
+        return [
+            row.key.key
+            for row in self.read(table, None, timeout_ms).rows
+            if row.key.key.startswith(prefix)
+        ]
+
     def follow(self, table, version, wait_ms):
         if self.down:
             raise errors.StoreUnavailableError("table", "down")
--- a/testing/platform/standin.py
+++ b/testing/platform/standin.py
@@ -76,6 +76,7 @@
                 row
                 for row in reading.rows
                 if row.key.key >= query.get("from", "")
+                and row.key.key < query.get("target", "\x7f")
             ),
             key=lambda row: row.key.key,
         )
