Follow the list of workers instead of reading it again and again

Cause: the owner read all entries of workers each 400 ms; with 176 workers these are 440 rows a second to decode, while entries change when workers come, go or drain. The lists were asked for twice a second by every host.

Change: the owner follows the table of workers like any other, and goes through its copy each 400 ms for what falls due by time. The wait for changes is set by who follows: 1 s for the lists, 0.5 s for jobs and workers.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/following.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/following.py
@@ -11,9 +11,6 @@
 from cyclamenshelf_daemon import supervision
 from cyclamenshelf_daemon.tasks import ports
 
-# A silent connection or a store that tells of no changes is noticed by asking
-# again, so this bounds how old the copy can be while the store is up.
-WAIT_MS = 500
 _READ_TIMEOUT_MS = 1_500
 
 
@@ -47,9 +44,19 @@
     store: ports.Store,
     clock: clocks.Clock,
     stopping: threading.Event,
-    wait_ms: int = WAIT_MS,
+    wait_ms: int,
 ) -> threading.Thread:
-    """Start the thread that keeps a copy up to date; return it."""
+    """Start the thread that keeps a copy up to date; return it.
+
+    Args:
+        copy: The copy.
+        store: Where its table is.
+        clock: The clock.
+        stopping: Set to end the thread.
+        wait_ms: How long a call waits for changes. A silent connection or a
+            store that tells of no changes is noticed by asking again, so this
+            bounds how old the copy can be while the store is up.
+    """
     thread = threading.Thread(
         target=_follow,
         args=(copy, store, clock, stopping, wait_ms),
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -20,6 +20,7 @@
 MAX_LISTS_AGE_MS = 2_500
 # A host that has not reached the store for this long asks for no callers.
 _READY_AGE_MS = 1_800
+_LISTS_WAIT_MS = 1_000
 
 
 class HostContext(NamedTuple):
@@ -29,7 +30,8 @@
         holder: Name of this host; one process at a time bears it.
         lists_key: Row of the operators' lists.
         decode_lists: Returns the lists of that row, or None.
-        list_workers: See `ownerstate.OwnerContext`.
+        workers_table: See `ownerstate.OwnerContext`.
+        decode_worker: See `ownerstate.OwnerContext`.
         lease_ms: Length of the leases of workers.
         keep_ended_ms: How long the rows of ended jobs are kept.
     """
@@ -40,7 +42,8 @@
     holder: str
     lists_key: ports.RowKey
     decode_lists: Callable[[ports.Row], queues.Lists | None]
-    list_workers: Callable[[int], list[ports.WorkerInfo]]
+    workers_table: str
+    decode_worker: Callable[[ports.Row], ports.WorkerInfo | None]
     lease_ms: int
     keep_ended_ms: int
 
@@ -68,12 +71,15 @@
     known = knownlists.KnownLists(
         context.lists_key, context.decode_lists, store, clock
     )
-    following.start_following(known.copy, store, clock, stopping)
+    following.start_following(
+        known.copy, store, clock, stopping, _LISTS_WAIT_MS
+    )
     owner_context = ownerstate.OwnerContext(
         store,
         context.workers,
         clock,
-        context.list_workers,
+        context.workers_table,
+        context.decode_worker,
         lambda: known.lists,
         context.lease_ms,
         context.keep_ended_ms,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -26,6 +26,8 @@
 from cyclamenshelf_daemon.tasks import writer
 
 _TICK_MS = 200
+# How long a call waits for changes of jobs and workers.
+_NEWS_WAIT_MS = 500
 # Ends and jobs that arrive together are planned together.
 _GATHER_MS = 5
 
@@ -87,7 +89,8 @@
         while not owner.tenure.ended.is_set():
             _run_calls(owner)
             ownerruns.review_runs(owner)
-            if owner.changed and owner.listed:
+            ownerworkers.review_workers(owner)
+            if owner.changed and owner.listed is not None:
                 owner.changed = False
                 owner.decided_ms = owner.context.clock.now_ms()
                 _decide(owner)
@@ -106,8 +109,13 @@
 def _start_threads(owner: ownerstate.Owner) -> None:
     context = owner.context
     following.start_following(
-        owner.work, context.store, context.clock, owner.tenure.ended
+        owner.work,
+        context.store,
+        context.clock,
+        owner.tenure.ended,
+        _NEWS_WAIT_MS,
     )
+    ownerworkers.follow_list(owner, _NEWS_WAIT_MS)
     writer.start_writer(
         writer.WriterContext(
             context.store,
@@ -120,12 +128,6 @@
             ),
         )
     )
-    threading.Thread(
-        target=supervision.run_logged,
-        args=("worker_list_failed", ownerworkers.poll_list, owner),
-        name="worker-list",
-        daemon=True,
-    ).start()
 
 
 def _run_calls(owner: ownerstate.Owner) -> None:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -27,8 +27,8 @@
     """What owning needs.
 
     Attributes:
-        list_workers: Returns the workers that the platform lists. Raises
-            errors.StoreUnavailableError.
+        workers_table: Table in which workers list themselves.
+        decode_worker: Returns the worker of a row, or None if it names none.
         get_lists: Returns the lists in force.
         lease_ms: Length of the leases of workers.
         keep_ended_ms: How long the rows of ended jobs are kept.
@@ -37,7 +37,8 @@
     store: ports.Store
     workers: ports.Workers
     clock: clocks.Clock
-    list_workers: Callable[[int], list[ports.WorkerInfo]]
+    workers_table: str
+    decode_worker: Callable[[ports.Row], ports.WorkerInfo | None]
     get_lists: Callable[[], queues.Lists]
     lease_ms: int
     keep_ended_ms: int
@@ -51,6 +52,8 @@
             answered under this epoch.
         clear_ms: Monotonic time from which nothing of an earlier owner runs
             on a worker that has not answered.
+        listed: Workers in the platform's list by id; None before it was read.
+        listed_ms: Monotonic time at which the list was last gone through.
         changed: Whether something has happened that a decision may turn on.
         decided_ms: Monotonic time of the last decision.
         links: What the threads of all workers share; set at the start.
@@ -74,7 +77,8 @@
             + int(context.lease_ms / _SLOW_CLOCK)
             + _HANDOVER_MARGIN_MS
         )
-        self.listed = False
+        self.listed: dict[str, ports.WorkerInfo] | None = None
+        self.listed_ms = 0
         self.work = following.Copy(submission.WORK_TABLE)
         self.pool = concurrent.futures.ThreadPoolExecutor(_POOL_THREADS)
         self.links: links.LinkContext | None = None
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
@@ -1,8 +1,8 @@
 """Workers of the owner: listed, heard, leaving, forgotten."""
 
-from cyclamenshelf_core import errors
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon.tasks import fleet
+from cyclamenshelf_daemon.tasks import following
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import links
 from cyclamenshelf_daemon.tasks import orders
@@ -11,40 +11,64 @@
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import reports
 
-_LIST_POLL_MS = 400
-_LIST_TIMEOUT_MS = 900
+# Workers that are not listed any more are looked at this often.
+_REVIEW_MS = 400
 
 
-def poll_list(owner: ownerstate.Owner) -> None:
-    """Read the list of workers again and again."""
-    while not owner.tenure.ended.is_set():
-        try:
-            infos = owner.context.list_workers(_LIST_TIMEOUT_MS)
-        except errors.StoreError as error:
-            logs.log_event("workers_unread", "WARNING", detail=error)
+def follow_list(owner: ownerstate.Owner, wait_ms: int) -> None:
+    """Start the thread that follows the list of workers."""
+    context = owner.context
+    following.start_following(
+        following.Copy(
+            context.workers_table,
+            lambda rows: ownerstate.post(
+                owner, lambda: _note_rows(owner, rows)
+            ),
+        ),
+        context.store,
+        context.clock,
+        owner.tenure.ended,
+        wait_ms,
+    )
+
+
+def _note_rows(owner: ownerstate.Owner, rows: list[ports.Row]) -> None:
+    """Take over changed entries of the list of workers."""
+    if owner.listed is None:
+        owner.listed = {}
+    for row in rows:
+        info = None if row.value is None else owner.context.decode_worker(row)
+        if info is None:
+            owner.listed.pop(row.key.key, None)
         else:
-            ownerstate.post(owner, lambda infos=infos: _note_list(owner, infos))
-        owner.tenure.ended.wait(_LIST_POLL_MS / 1000)
+            owner.listed[info.id] = info
+    _go_through_list(owner)
 
 
-def _note_list(owner: ownerstate.Owner, infos: list[ports.WorkerInfo]) -> None:
-    now_ms = owner.context.clock.now_ms()
-    listed = {info.id: info for info in infos}
-    for info in infos:
+def review_workers(owner: ownerstate.Owner) -> None:
+    """Do what falls due by time alone."""
+    due_ms = owner.listed_ms + _REVIEW_MS
+    if owner.listed is not None and owner.context.clock.now_ms() >= due_ms:
+        _go_through_list(owner)
+
+
+def _go_through_list(owner: ownerstate.Owner) -> None:
+    """Bring the owner's workers in line with the list."""
+    owner.listed_ms = now_ms = owner.context.clock.now_ms()
+    for info in owner.listed.values():
         worker = owner.workers.get(info.id)
         if worker is None:
             _add_worker(owner, info)
         else:
             _update_worker(owner, worker, info, now_ms)
     for worker_id, worker in list(owner.workers.items()):
-        if worker_id in listed:
+        if worker_id in owner.listed:
             continue
         if worker.unlisted_ms is None:
             worker.unlisted_ms = now_ms
             logs.log_event("worker_unlisted", worker=worker_id)
         _forget_worker(owner, worker, now_ms)
     owner.unheard -= _list_heard(owner)
-    owner.listed = True
 
 
 def _list_heard(owner: ownerstate.Owner) -> set[str]:
--- a/testing/daemon/tasks/conftest.py
+++ b/testing/daemon/tasks/conftest.py
@@ -20,6 +20,7 @@
 from cyclamenshelf_daemon.tasks import submission
 
 LIMIT_S = 20
+WORKERS_TABLE = "workers"
 LISTS = queues.Lists(
     1,
     1,
@@ -37,16 +38,28 @@
 
     def __init__(self):
         self.fake = fakestore.FakeStore()
+        self.infos = {}
         self.workers = [
             fakefleet.FakeWorker("w0"),
             fakefleet.FakeWorker("w1", "r1"),
         ]
-        self.listed = list(self.workers)
+        for worker in self.workers:
+            self.list_worker(worker)
         self.clock = clocks.make_system_clock()
         self.numbers = itertools.count(1)
         self.tenures = []
         self.owners = []
 
+    def list_worker(self, worker):
+        """Write a worker's entry as it is now."""
+        value = repr(worker.info).encode()
+        self.infos[value] = worker.info
+        self.fake.put(WORKERS_TABLE, worker.info.id, value)
+
+    def unlist_worker(self, worker):
+        key = ports.RowKey(WORKERS_TABLE, worker.info.id)
+        self.fake.commit(ports.Transaction({}, {}, (key,)), 1_000)
+
     def take_over(self, lease_ms=6_000):
         """Start an owner under the next epoch; the last one is not told."""
         epoch = len(self.tenures) + 1
@@ -59,7 +72,8 @@
             self.fake.store,
             fakefleet.make_workers(self.workers),
             self.clock,
-            lambda timeout_ms: [worker.info for worker in self.listed],
+            WORKERS_TABLE,
+            lambda row: self.infos.get(row.value),
             lambda: LISTS,
             lease_ms,
             60_000,
--- a/testing/daemon/tasks/test_owner.py
+++ b/testing/daemon/tasks/test_owner.py
@@ -113,7 +113,7 @@
     job_id = cell.submit(builders.make_step(1, 8, data_rack="r0"))
     cell.wait_for_runs(job_id, 1)
     cell.workers[0].silent = True
-    cell.listed = cell.workers[1:]
+    cell.unlist_worker(cell.workers[0])
     cell.tenures[0].ended.set()
     cell.take_over()
     fresh = cell.submit(builders.make_step(1))
@@ -131,7 +131,7 @@
     cell.wait_for_runs(lost, 1)
     cell.wait_for_runs(other, 8)
     cell.workers[0].silent = True
-    cell.listed = cell.workers[1:]
+    cell.unlist_worker(cell.workers[0])
     cell.tenures[0].ended.set()
     cell.take_over()
     conftest.wait_until(lambda: cell.workers[1].epoch == 2, "w1 is fenced")
@@ -225,6 +225,7 @@
 
 def test_leaving_worker_gets_no_tasks(cell):
     cell.workers[0].info = cell.workers[0].info._replace(draining_ms=2_000)
+    cell.list_worker(cell.workers[0])
     cell.take_over()
     job_id = cell.submit(builders.make_step(9))
     cell.wait_for_runs(job_id, 8)
