Find the runs of a job and of a worker by index; measure decisions by size

Cause: each answer of a worker, each changed job and each sent start went through all runs of the fleet.

Change: the owner's book keeps its runs by job and by worker beside the index by group. benchmarks/task_decisions.py measures a decision and an answer from 24 to 1,100 workers.

Conclusion: the decision grows with the square of the size; that is next.

--- /dev/null
+++ b/benchmarks/task_decisions.py
@@ -0,0 +1,182 @@
+"""Measure what the owner of the task scheduler does for each event, by size.
+
+Run as a module: python -m benchmarks.task_decisions
+
+Usage: task_decisions [--seed=N] [--repeats=N]
+
+Options:
+  --seed=N     Seed of fleet and jobs [default: 1].
+  --repeats=N  Decisions measured at each size [default: 20].
+
+Each fleet is full of tasks of the last priority, 22 on a worker, and jobs of
+all three priorities wait, one for every eight workers. `decide` is one whole
+decision, `look` what a worker's answer costs.
+"""
+
+import random
+import time
+
+import docopt
+
+from cyclamenshelf_core import taskjobs
+from cyclamenshelf_core import taskplan
+from cyclamenshelf_core import taskprogress
+from cyclamenshelf_daemon.tasks import fleet
+from cyclamenshelf_daemon.tasks import ledger as ledgers
+from cyclamenshelf_daemon.tasks import planning
+from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks import queues
+from cyclamenshelf_daemon.tasks import reports
+
+_SIZES = (24, 69, 138, 275, 550, 1100)
+_PER_RACK = 20
+_CAPACITY = taskjobs.Resources(64_000, 256_000, 24)
+_TASKS_PER_WORKER = 22
+_TASKS_PER_JOB = 16
+_WAITING_SHARE = 8
+_NOW_MS = 1_000_000
+_LISTS = queues.Lists(
+    1,
+    1,
+    tuple(
+        queues.Queue(f"q{n}", "h", f"/{n}/", "s", n, 2, 3.0, 1_000, False)
+        for n in range(3)
+    ),
+    tuple(queues.ClientAccount(f"a{n}", frozenset(), 16) for n in range(57)),
+)
+
+
+def make_ledger(
+    workers: int, rng: random.Random
+) -> tuple[ledgers.Ledger, list[fleet.Worker]]:
+    """Return a full fleet and the owner's book of it."""
+    ledger = ledgers.Ledger(1)
+    members = [_make_worker(number) for number in range(workers)]
+    places = [
+        worker.info.id for worker in members for _ in range(_TASKS_PER_WORKER)
+    ]
+    for start in range(0, len(places), _TASKS_PER_JOB):
+        chosen = places[start : start + _TASKS_PER_JOB]
+        job = _make_job(f"r{start:06}", 2, len(chosen), 1, rng)
+        _add_job(ledger, job)
+        for index, worker_id in enumerate(chosen):
+            task = taskjobs.Task(taskjobs.Group(job.id, 0, 0), index)
+            run = ledgers.Run(task, 1, worker_id, _NOW_MS - 1_000)
+            run.phase, run.acked_ms = ledgers.Phase.RUNNING, _NOW_MS
+            ledgers.add_run(ledger, run)
+    for number in range(workers // _WAITING_SHARE):
+        priority = number % 3
+        gang = priority == 0
+        size = rng.choice((1, 2, 4, 8)) if gang else rng.choice((1, 8))
+        job = _make_job(f"w{number:06}", priority, 4, size, rng, gang=gang)
+        _add_job(ledger, job)
+    return ledger, members
+
+
+def _make_worker(number: int) -> fleet.Worker:
+    rack = f"r{number // _PER_RACK}"
+    info = ports.WorkerInfo(
+        f"w{number:04}",
+        1,
+        "127.0.0.1:1",
+        "s",
+        rack,
+        frozenset({"a", rack}),
+        _CAPACITY,
+        None,
+    )
+    worker = fleet.Worker(info)
+    fleet.note_answer(worker, 1, _NOW_MS)
+    return worker
+
+
+def _make_job(
+    job_id: str,
+    priority: int,
+    tasks: int,
+    accelerators: int,
+    rng: random.Random,
+    gang: bool = False,
+) -> taskjobs.TaskJob:
+    need = taskjobs.Resources(2_000, 4_000, accelerators)
+    step = taskjobs.Step(
+        tasks, need, 5_000, checkpointable=not gang, gang=gang, same_rack=gang
+    )
+    return taskjobs.TaskJob(
+        job_id,
+        f"q{priority}",
+        f"a{rng.randrange(57)}",
+        "s",
+        "payload",
+        (step,),
+        priority,
+        2,
+        3.0,
+        1_000,
+        0,
+        0,
+        0,
+        _NOW_MS - rng.randrange(5_000),
+    )
+
+
+def _add_job(ledger: ledgers.Ledger, job: taskjobs.TaskJob) -> None:
+    progress = taskprogress.Progress(job.queue, job.account)
+    ledger.jobs[job.id] = ledgers.Entry(job, 1, progress, 1)
+
+
+def decide(
+    ledger: ledgers.Ledger, members: list[fleet.Worker]
+) -> taskplan.Plan:
+    """Make one decision as the owner does."""
+    times = planning.Times(_NOW_MS, _NOW_MS)
+    return taskplan.plan(
+        planning.list_waiting(ledger, _LISTS, times, set()),
+        planning.list_held(ledger, _LISTS, _NOW_MS),
+        planning.list_rooms(ledger, members, _NOW_MS),
+        planning.count_spread(ledger),
+    )
+
+
+def look(ledger: ledgers.Ledger, worker: fleet.Worker) -> None:
+    """Take over an answer that lists what runs on a worker."""
+    running = tuple(
+        ports.RunningTask(taskjobs.format_task(run.task), run.number, "")
+        for run in ledgers.list_worker(ledger, worker.info.id)
+    )
+    answer = ports.Look(1, 1, running, (), complete=True)
+    reports.take_over(
+        ledger,
+        worker,
+        _NOW_MS,
+        answer,
+        planning.Times(_NOW_MS, _NOW_MS),
+        lambda worker, name, number: None,
+    )
+
+
+def main() -> None:
+    """Print the costs at each size."""
+    arguments = docopt.docopt(__doc__)
+    seed, repeats = int(arguments["--seed"]), int(arguments["--repeats"])
+    print(f"seed={seed}")
+    for workers in _SIZES:
+        ledger, members = make_ledger(workers, random.Random(seed))
+        began = time.process_time()
+        for _ in range(repeats):
+            made = decide(ledger, members)
+        middle = time.process_time()
+        for number in range(repeats):
+            look(ledger, members[number % workers])
+        ended = time.process_time()
+        print(
+            f"workers={workers} tasks={len(ledger.runs)} "
+            f"waiting={workers // _WAITING_SHARE} stops={len(made.stops)} "
+            f"decide_ms={1000 * (middle - began) / repeats:.2f} "
+            f"look_us={1e6 * (ended - middle) / repeats:.0f}",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -1,6 +1,7 @@
 """The owner's book of jobs and of the runs that hold room on workers."""
 
 import enum
+from typing import Any
 
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
@@ -86,6 +87,7 @@
     """All jobs and runs of a tenure.
 
     Attributes:
+        by_group: Runs by group; likewise by job and by worker.
         stops: Runs for which a stop has to be sent.
     """
 
@@ -93,7 +95,9 @@
         self.epoch = epoch
         self.jobs: dict[str, Entry] = {}
         self.runs: dict[taskjobs.Task, Run] = {}
-        self.by_group: dict[taskjobs.Group, set[taskjobs.Task]] = {}
+        self.by_group: dict[taskjobs.Group, dict[taskjobs.Task, Run]] = {}
+        self.by_job: dict[str, dict[taskjobs.Task, Run]] = {}
+        self.by_worker: dict[str, dict[taskjobs.Task, Run]] = {}
         self.count = 0
         self.stops: list[Run] = []
 
@@ -125,44 +129,54 @@
 def add_run(ledger: Ledger, run: Run) -> None:
     """Enter a run."""
     ledger.runs[run.task] = run
-    ledger.by_group.setdefault(run.task.group, set()).add(run.task)
+    for index, key in _list_indexes(ledger, run):
+        index.setdefault(key, {})[run.task] = run
 
 
 def remove_run(ledger: Ledger, run: Run) -> None:
     """Take a run out; its room is free."""
     del ledger.runs[run.task]
-    members = ledger.by_group[run.task.group]
-    members.discard(run.task)
-    if not members:
-        del ledger.by_group[run.task.group]
+    for index, key in _list_indexes(ledger, run):
+        del index[key][run.task]
+        if not index[key]:
+            del index[key]
+
+
+def _list_indexes(ledger: Ledger, run: Run) -> tuple[tuple[dict, Any], ...]:
+    """Return the indexes of runs with the run's key in each."""
+    group = run.task.group
+    return (
+        (ledger.by_group, group),
+        (ledger.by_job, group.job_id),
+        (ledger.by_worker, run.worker_id),
+    )
 
 
 def list_group(ledger: Ledger, group: taskjobs.Group) -> list[Run]:
     """Return the runs of a group."""
-    return [ledger.runs[task] for task in ledger.by_group.get(group, ())]
+    return list(ledger.by_group.get(group, {}).values())
+
+
+def list_job(ledger: Ledger, job_id: str) -> list[Run]:
+    """Return the runs of a job."""
+    return list(ledger.by_job.get(job_id, {}).values())
 
 
 def list_job_workers(ledger: Ledger, job_id: str) -> set[str]:
     """Return the workers on which a job has runs."""
-    return {
-        run.worker_id
-        for run in ledger.runs.values()
-        if run.task.group.job_id == job_id
-    }
+    return {run.worker_id for run in list_job(ledger, job_id)}
 
 
 def list_planned(ledger: Ledger, job_id: str) -> list[Run]:
     """Return the runs of a job that have not been sent."""
     return [
-        run
-        for run in ledger.runs.values()
-        if run.phase is Phase.PLANNED and run.task.group.job_id == job_id
+        run for run in list_job(ledger, job_id) if run.phase is Phase.PLANNED
     ]
 
 
 def list_worker(ledger: Ledger, worker_id: str) -> list[Run]:
     """Return the runs on a worker."""
-    return [run for run in ledger.runs.values() if run.worker_id == worker_id]
+    return list(ledger.by_worker.get(worker_id, {}).values())
 
 
 def stop_run(ledger: Ledger, run: Run, reason: str) -> None:
@@ -229,9 +243,8 @@
         reason=reason,
         age_ms=wall_ms - entry.job.accepted_ms,
     )
-    for run in list(ledger.runs.values()):
-        if run.task.group.job_id == entry.job.id:
-            stop_run(ledger, run, f"job_{state}")
+    for run in list_job(ledger, entry.job.id):
+        stop_run(ledger, run, f"job_{state}")
 
 
 def apply_end(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerrows.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerrows.py
@@ -72,7 +72,7 @@
             continue
         job_id = entry.job.id
         key = jobstates.make_progress_key(job_id)
-        if key in rows or _has_runs(owner, job_id):
+        if key in rows or job_id in owner.ledger.by_job:
             continue
         rows[key] = (entry.progress_version, None)
         rows[submission.make_work_key(job_id)] = (entry.row_version, None)
@@ -82,10 +82,6 @@
             rows[cancel] = (found.version, None)
 
 
-def _has_runs(owner: ownerstate.Owner, job_id: str) -> bool:
-    return any(group.job_id == job_id for group in owner.ledger.by_group)
-
-
 def note_written(
     owner: ownerstate.Owner,
     batch: writer.Batch,
