Decide on large fleets without searching the same again

Cause: for each waiting group a decision looked at all tasks of all workers anew, sorted them by lost work for each worker several times, and searched the free room again for shapes that had not fit a moment before. Decisions followed each other without a pause, so a large fleet left no time for the answers of workers.

Change: tasks that may be stopped are a module of their own (taskvictims), which sorts a worker's tasks once a decision and keeps the room and the lost work of stops until one is chosen there; a shape that did not fit into free room is not searched again; workers are listed once by service and label. A decision is followed by a pause of three times its duration.

Ruled out: a bound on searches in a decision (room would go to less urgent groups that are stopped by the next one).

--- a/packages/core/src/cyclamenshelf_core/taskjobs.py
+++ b/packages/core/src/cyclamenshelf_core/taskjobs.py
@@ -18,6 +18,8 @@
 
 
 NOTHING = Resources(0, 0, 0)
+# Tasks that need nothing fit this often.
+_ANY_COUNT = 1_000
 
 
 class Step(NamedTuple):
@@ -122,12 +124,15 @@
 
 def count_fitting(free: Resources, need: Resources) -> int:
     """Return how many tasks of a size fit into an amount."""
-    counts = [
-        max(0, have) // wanted
-        for have, wanted in zip(free, need, strict=True)
-        if wanted > 0
-    ]
-    return min(counts, default=1_000)
+    # Written out, as most of a decision on a large fleet is spent here.
+    count = _ANY_COUNT
+    if need.accelerators > 0:
+        count = free.accelerators // need.accelerators
+    if need.cpu_millis > 0 and count > 0:
+        count = min(count, free.cpu_millis // need.cpu_millis)
+    if need.memory_mb > 0 and count > 0:
+        count = min(count, free.memory_mb // need.memory_mb)
+    return max(0, count)
 
 
 def count_occurrences(job: TaskJob) -> int:
--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -6,10 +6,12 @@
 lower priority. Room that is being made for a group is held for it.
 """
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskspace
+from cyclamenshelf_core import taskvictims
 
 # On each rack the emptiest workers, this many, are kept from single tasks of
 # the last priorities, so that urgent groups start without a stop, which takes
@@ -21,8 +23,6 @@
 # A gang of lower priority makes room for itself when this is all that is left
 # until it would miss its objective.
 _PRESSED_MS = 6_000
-# An accelerator counts as this many cores when lost work is weighed.
-_CORES_PER_ACCELERATOR = 8
 
 
 class Waiting(NamedTuple):
@@ -41,25 +41,6 @@
     guaranteed: bool
 
 
-class Held(NamedTuple):
-    """A task that holds room on a worker.
-
-    Attributes:
-        lost_ms: Work that a stop would throw away.
-        guaranteed: Whether the account's guarantee covers the job.
-    """
-
-    task: taskjobs.Task
-    worker_id: str
-    need: taskjobs.Resources
-    priority: int
-    gang: bool
-    long_running: bool
-    lost_ms: int
-    stopping: bool
-    guaranteed: bool
-
-
 class Start(NamedTuple):
     """Start tasks of a group; for a gang all of them at once."""
 
@@ -82,49 +63,53 @@
     blocked: list[taskjobs.Group]
 
 
+class _Shape(NamedTuple):
+    """What decides where the tasks of a step fit."""
+
+    service: str
+    label: str
+    data_rack: str
+    need: taskjobs.Resources
+    gang: bool
+    same_rack: bool
+    far: bool
+
+
 class _Round:
-    """State of one decision."""
+    """State of one decision.
+
+    Attributes:
+        kept: Workers that are kept from the groups that follow.
+        unfit: By shape, the fewest tasks that do not fit into what is free;
+            what is free only shrinks within a decision.
+    """
 
     def __init__(
         self,
         workers: dict[str, taskspace.WorkerRoom],
-        held: list[Held],
+        held: list[taskvictims.Held],
         counts: dict[tuple[str, int, str], int],
     ) -> None:
         self.space = taskspace.Space(workers, counts)
-        self.by_worker: dict[str, list[Held]] = {name: [] for name in workers}
-        self.by_group: dict[taskjobs.Group, list[Held]] = {}
-        self.stopping: dict[str, taskjobs.Resources] = {}
-        self.chosen: set[taskjobs.Task] = set()
+        self.victims = taskvictims.Victims(held)
         self.starts: list[Start] = []
         self.stops: list[Stop] = []
         self.blocked: list[taskjobs.Group] = []
         self.holding = 0
         self.kept: set[str] = set()
-        for entry in held:
-            self.by_group.setdefault(entry.task.group, []).append(entry)
-            if entry.worker_id in self.by_worker:
-                self.by_worker[entry.worker_id].append(entry)
-                if entry.stopping:
-                    self.add_stopping(entry)
-
-    def add_stopping(self, entry: Held) -> None:
-        """Count the room of a task that will soon be gone."""
-        self.stopping[entry.worker_id] = taskjobs.add(
-            self.stopping.get(entry.worker_id, taskjobs.NOTHING), entry.need
-        )
+        self.unfit: dict[_Shape, int] = {}
 
     def get_soon(self, worker_id: str) -> taskjobs.Resources:
         """Return the room that is free, or about to be."""
         return taskjobs.add(
             self.space.free[worker_id],
-            self.stopping.get(worker_id, taskjobs.NOTHING),
+            self.victims.stopping.get(worker_id, taskjobs.NOTHING),
         )
 
 
 def plan(
     waiting: list[Waiting],
-    held: list[Held],
+    held: list[taskvictims.Held],
     workers: dict[str, taskspace.WorkerRoom],
     counts: dict[tuple[str, int, str], int],
 ) -> Plan:
@@ -174,7 +159,7 @@
 def _serve(state: _Round, entry: Waiting) -> None:
     step = entry.job.steps[entry.group.step]
     far = _is_far_worth_it(state, entry)
-    placed = _find(state, entry, far, soon=False)
+    placed = _find(state, entry, far)
     if placed:
         _start(state, entry, placed)
     if len(placed) == len(entry.indexes):
@@ -188,7 +173,7 @@
         if entry.spare_ms < _PRESSED_MS and entry.spare_ms >= 0:
             _make_room(state, rest, far)
         else:
-            _hold(state, rest, _find(state, rest, far, soon=True))
+            _hold(state, rest, _find_soon(state, rest, far))
 
 
 def _is_far_worth_it(state: _Round, entry: Waiting) -> bool:
@@ -205,15 +190,46 @@
     )
 
 
-def _find(state: _Round, entry: Waiting, far: bool, soon: bool) -> list[str]:
-    room = state.get_soon if soon else state.space.free.__getitem__
+def _find(state: _Round, entry: Waiting, far: bool) -> list[str]:
+    """Return workers with room that is free for as many tasks as fit."""
+    step, tasks = entry.job.steps[entry.group.step], len(entry.indexes)
+    shape = _Shape(
+        entry.job.service,
+        step.label,
+        step.data_rack,
+        step.need,
+        step.gang,
+        step.same_rack,
+        far,
+    )
+    # Single tasks are placed as far as they fit, so only none is no room.
+    wanted = tasks if step.gang else 1
+    if wanted >= state.unfit.get(shape, wanted + 1):
+        return []
+    found = _search(state, entry, far, state.space.free.__getitem__)
+    if not found and not step.max_per_worker:
+        state.unfit[shape] = wanted
+    return found
+
+
+def _find_soon(state: _Round, entry: Waiting, far: bool) -> list[str]:
+    """Return workers with room that is free or about to be."""
+    return _search(state, entry, far, state.get_soon)
+
+
+def _search(
+    state: _Round,
+    entry: Waiting,
+    far: bool,
+    get_room: Callable[[str], taskjobs.Resources],
+) -> list[str]:
     number, tasks = entry.group.step, len(entry.indexes)
     found = taskspace.find_workers(
-        state.space, entry.job, number, tasks, room, False
+        state.space, entry.job, number, tasks, get_room, False
     )
     if len(found) < tasks and far:
         wider = taskspace.find_workers(
-            state.space, entry.job, number, tasks, room, True
+            state.space, entry.job, number, tasks, get_room, True
         )
         found = max(found, wider, key=len)
     return found
@@ -245,32 +261,27 @@
 
 def _make_room(state: _Round, entry: Waiting, far: bool) -> None:
     """Hold room for a group, stopping tasks of lower rank if need be."""
-    placed = _find(state, entry, far, soon=True)
+    placed = _find_soon(state, entry, far)
     if len(placed) < len(entry.indexes):
         _choose_victims(state, entry, far)
-        placed = _find(state, entry, far, soon=True)
+        placed = _find_soon(state, entry, far)
     _hold(state, entry, placed)
 
 
 def _choose_victims(state: _Round, entry: Waiting, far: bool) -> None:
     """Mark the tasks to stop, if that makes the group fit."""
     step = entry.job.steps[entry.group.step]
-    eligible = {
-        worker_id: [
-            held
-            for held in held_there
-            if not held.stopping
-            and held.task not in state.chosen
-            and _may_stop(entry, held)
-        ]
-        for worker_id, held_there in state.by_worker.items()
-    }
+    rank = taskvictims.Rank(entry.job.priority, entry.guaranteed)
 
     def get_room(worker_id: str) -> taskjobs.Resources:
-        room = state.get_soon(worker_id)
-        for held in eligible[worker_id]:
-            room = taskjobs.add(room, held.need)
-        return room
+        return taskjobs.add(
+            state.get_soon(worker_id),
+            state.victims.get_freed(worker_id, rank),
+        )
+
+    def weigh(worker_id: str) -> float:
+        soon = state.get_soon(worker_id)
+        return state.victims.get_cost(worker_id, soon, step.need, rank)
 
     placed = taskspace.find_workers(
         state.space,
@@ -279,73 +290,17 @@
         len(entry.indexes),
         get_room,
         far,
-        lambda worker_id: _weigh_worker(
-            state, worker_id, step.need, eligible[worker_id]
-        ),
+        weigh,
     )
     if step.gang and len(placed) < len(entry.indexes):
         return
     for worker_id in dict.fromkeys(placed):
-        wanted = placed.count(worker_id)
-        _stop_for(state, entry, worker_id, wanted, eligible[worker_id])
-
-
-def _weigh_worker(
-    state: _Round,
-    worker_id: str,
-    need: taskjobs.Resources,
-    eligible: list[Held],
-) -> float:
-    """Return the work that is lost to fit one task on a worker."""
-    room = state.get_soon(worker_id)
-    cost = 0.0
-    for held in sorted(eligible, key=lambda held: _weigh(state, held)):
-        if taskjobs.count_fitting(room, need) > 0:
-            break
-        room = taskjobs.add(room, held.need)
-        cost += 1 + _weigh(state, held)[1]
-    return cost
-
-
-def _may_stop(entry: Waiting, held: Held) -> bool:
-    if held.long_running:
-        return False
-    if held.priority > entry.job.priority:
-        return True
-    return (
-        entry.guaranteed
-        and held.priority == entry.job.priority
-        and not held.guaranteed
-    )
-
-
-def _stop_for(
-    state: _Round,
-    entry: Waiting,
-    worker_id: str,
-    wanted: int,
-    eligible: list[Held],
-) -> None:
-    """Stop the cheapest tasks of a worker until the wanted tasks fit."""
-    need = entry.job.steps[entry.group.step].need
-    for held in sorted(eligible, key=lambda held: _weigh(state, held)):
-        room = state.get_soon(worker_id)
-        if taskjobs.count_fitting(room, need) >= wanted:
-            return
-        if held.task in state.chosen:
-            continue
-        members = state.by_group[held.task.group] if held.gang else [held]
-        for member in members:
-            if member.stopping or member.task in state.chosen:
-                continue
-            state.chosen.add(member.task)
-            state.add_stopping(member)
-            state.stops.append(Stop(member.task, entry.group))
-
-
-def _weigh(state: _Round, held: Held) -> tuple:
-    """Return the order in which tasks are stopped: least lost work first."""
-    members = state.by_group[held.task.group] if held.gang else [held]
-    cores = held.need.cpu_millis / 1000
-    cores += held.need.accelerators * _CORES_PER_ACCELERATOR
-    return (-held.priority, held.lost_ms * cores * len(members), held.task)
+        stops = taskvictims.stop_cheapest(
+            state.victims,
+            worker_id,
+            state.get_soon(worker_id),
+            step.need,
+            placed.count(worker_id),
+            rank,
+        )
+        state.stops += [Stop(held.task, entry.group) for held in stops]
--- a/packages/core/src/cyclamenshelf_core/taskspace.py
+++ b/packages/core/src/cyclamenshelf_core/taskspace.py
@@ -30,6 +30,7 @@
     Attributes:
         free: Room by worker id.
         counts: Tasks by step of a job and worker, for steps that spread.
+        allowed: Workers by service and label, as far as asked for.
     """
 
     def __init__(
@@ -40,6 +41,7 @@
         self.workers = workers
         self.free = {worker.id: worker.free for worker in workers.values()}
         self.counts = dict(counts)
+        self.allowed: dict[tuple[str, str], list[WorkerRoom]] = {}
 
 
 def take(
@@ -64,6 +66,21 @@
     )
 
 
+def list_allowed(
+    space: Space, job: taskjobs.TaskJob, step: taskjobs.Step
+) -> list[WorkerRoom]:
+    """Return the workers on which a step may run at all."""
+    key = (job.service, step.label)
+    found = space.allowed.get(key)
+    if found is None:
+        found = space.allowed[key] = [
+            worker
+            for worker in space.workers.values()
+            if is_allowed(worker, job, step)
+        ]
+    return found
+
+
 def find_workers(
     space: Space,
     job: taskjobs.TaskJob,
@@ -89,13 +106,8 @@
         weigh: What a task costs on a worker; the least is taken first.
     """
     step = job.steps[number]
-    slots = _count_slots(space, job, number, get_room)
-    if step.data_rack and not allow_far:
-        slots = {
-            worker_id: count
-            for worker_id, count in slots.items()
-            if step.data_rack == space.workers[worker_id].rack
-        }
+    near_rack = "" if allow_far else step.data_rack
+    slots, rooms = _count_slots(space, job, number, get_room, near_rack)
     if step.gang and step.same_rack:
         chosen = _choose_rack(space, slots, tasks, step.data_rack, weigh)
         if chosen is not None:
@@ -111,8 +123,8 @@
             and step.data_rack != space.workers[worker_id].rack,
             space.workers[worker_id].doubtful,
             weigh(worker_id),
-            get_room(worker_id).accelerators,
-            get_room(worker_id).cpu_millis,
+            rooms[worker_id].accelerators,
+            rooms[worker_id].cpu_millis,
             worker_id,
         ),
     )
@@ -129,19 +141,32 @@
     job: taskjobs.TaskJob,
     number: int,
     get_room: Callable[[str], taskjobs.Resources],
-) -> dict[str, int]:
+    near_rack: str,
+) -> tuple[dict[str, int], dict[str, taskjobs.Resources]]:
+    """Return how many tasks fit on each worker, and the room counted with.
+
+    Args:
+        space: Room on the workers.
+        job: The job.
+        number: Number of its step.
+        get_room: Room to count with on a worker.
+        near_rack: Rack to stay on; empty for any.
+    """
     step = job.steps[number]
     slots: dict[str, int] = {}
-    for worker in space.workers.values():
-        if not is_allowed(worker, job, step):
+    rooms: dict[str, taskjobs.Resources] = {}
+    for worker in list_allowed(space, job, step):
+        if near_rack and worker.rack != near_rack:
             continue
-        count = taskjobs.count_fitting(get_room(worker.id), step.need)
-        if step.max_per_worker:
+        room = get_room(worker.id)
+        count = taskjobs.count_fitting(room, step.need)
+        if step.max_per_worker and count:
             held = space.counts.get((job.id, number, worker.id), 0)
             count = min(count, max(0, step.max_per_worker - held))
         if count > 0:
             slots[worker.id] = count
-    return slots
+            rooms[worker.id] = room
+    return slots, rooms
 
 
 def _choose_rack(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -28,6 +28,9 @@
 _TICK_MS = 200
 # How long a call waits for changes of jobs and workers.
 _NEWS_WAIT_MS = 500
+# A decision is followed by this many times its own duration without one, so
+# that answers of workers are taken over and leases renewed on large fleets.
+_REST = 3
 # Ends and jobs that arrive together are planned together.
 _GATHER_MS = 5
 
@@ -90,10 +93,7 @@
             _run_calls(owner)
             ownerruns.review_runs(owner)
             ownerworkers.review_workers(owner)
-            if owner.changed and owner.listed is not None:
-                owner.changed = False
-                owner.decided_ms = owner.context.clock.now_ms()
-                _decide(owner)
+            _decide_if_due(owner)
             ownerruns.send_stops(owner)
             ownerrows.flush_rows(owner)
     finally:
@@ -132,8 +132,12 @@
 
 def _run_calls(owner: ownerstate.Owner) -> None:
     """Wait for the next call, then run all that have come."""
+    now_ms = owner.context.clock.now_ms()
+    wait_ms = _TICK_MS
+    if owner.changed:
+        wait_ms = min(wait_ms, owner.decided_ms + owner.pause_ms - now_ms)
     try:
-        call = owner.calls.get(timeout=_TICK_MS / 1000)
+        call = owner.calls.get(timeout=max(1, wait_ms) / 1000)
     except queue.Empty:
         return
     call()
@@ -155,6 +159,20 @@
     }
 
 
+def _decide_if_due(owner: ownerstate.Owner) -> None:
+    """Decide if something has changed and decisions leave time for the rest."""
+    clock = owner.context.clock
+    began_ms = clock.now_ms()
+    if not owner.changed or owner.listed is None:
+        return
+    if began_ms < owner.decided_ms + owner.pause_ms:
+        return
+    owner.changed = False
+    owner.decided_ms = began_ms
+    _decide(owner)
+    owner.pause_ms = _REST * (clock.now_ms() - began_ms)
+
+
 def _decide(owner: ownerstate.Owner) -> None:
     clock = owner.context.clock
     if not ownership.is_proved(owner.tenure, clock):
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -56,6 +56,7 @@
         listed_ms: Monotonic time at which the list was last gone through.
         changed: Whether something has happened that a decision may turn on.
         decided_ms: Monotonic time of the last decision.
+        pause_ms: Least time from that decision to the next.
         links: What the threads of all workers share; set at the start.
         orders: What orders need; set at the start.
     """
@@ -70,6 +71,7 @@
         self.writing = False
         self.changed = True
         self.decided_ms = 0
+        self.pause_ms = 0
         self.unheard: set[str] = set()
         self.clear_ms = (
             context.clock.now_ms()
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -7,6 +7,7 @@
 from cyclamenshelf_core import taskplan
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_core import taskspace
+from cyclamenshelf_core import taskvictims
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import queues
@@ -59,16 +60,16 @@
 
 def list_held(
     ledger: ledgers.Ledger, lists: queues.Lists, now_ms: int
-) -> list[taskplan.Held]:
+) -> list[taskvictims.Held]:
     """Return every run that holds room."""
     covered = list_covered(ledger, lists)
-    held: list[taskplan.Held] = []
+    held: list[taskvictims.Held] = []
     for run in ledger.runs.values():
         entry = ledger.jobs[run.task.group.job_id]
         step = entry.job.steps[run.task.group.step]
         since_ms = run.checkpoint_ms if step.checkpointable else run.since_ms
         held.append(
-            taskplan.Held(
+            taskvictims.Held(
                 run.task,
                 run.worker_id,
                 step.need,
--- a/testing/core/taskbuilders.py
+++ b/testing/core/taskbuilders.py
@@ -3,6 +3,7 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskplan
 from cyclamenshelf_core import taskspace
+from cyclamenshelf_core import taskvictims
 
 CAPACITY = taskjobs.Resources(32_000, 64_000, 8)
 
@@ -56,7 +57,7 @@
 
 
 def make_held(job, worker_id, index=0, step=0, **values):
-    held = taskplan.Held(
+    held = taskvictims.Held(
         taskjobs.Task(taskjobs.Group(job.id, 0, step), index),
         worker_id,
         job.steps[step].need,
