Stop checkpointable tasks first: a stop saves their work

Cause: the work that a stop of a checkpointable task throws away was taken to be all since its newest checkpoint, while the worker saves at the stop itself. The choice of what to stop therefore spared tasks whose stop costs nothing and stopped young tasks that lose all.

Change: such a task counts with the cost of its restore (100 ms). Failed first: test_work_that_a_stop_saves_is_stopped_before_younger_work.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -50,7 +50,6 @@
         self.stop_acked_ms: int | None = None
         self.stop_sent_ms: int | None = None
         self.checkpoint = ""
-        self.checkpoint_ms = now_ms
         self.reason = ""
 
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
@@ -108,7 +108,7 @@
     entry = owner.ledger.jobs[run.task.group.job_id]
     keeper = taskprogress.get_keeper(entry.job, run.task)
     run.phase = ledgers.Phase.STARTING
-    run.since_ms = run.checkpoint_ms = owner.context.clock.now_ms()
+    run.since_ms = owner.context.clock.now_ms()
     orders.send_start(
         owner.orders,
         worker,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -12,6 +12,9 @@
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import queues
 
+# What starting from a checkpoint costs.
+_RESTORE_MS = 100
+
 
 class Times(NamedTuple):
     """The moment of a decision, by both clocks."""
@@ -67,7 +70,10 @@
     for run in ledger.runs.values():
         entry = ledger.jobs[run.task.group.job_id]
         step = entry.job.steps[run.task.group.step]
-        since_ms = run.checkpoint_ms if step.checkpointable else run.since_ms
+        # A stop saves the work of a checkpointable task.
+        lost_ms = max(0, now_ms - run.since_ms)
+        if step.checkpointable:
+            lost_ms = min(lost_ms, _RESTORE_MS)
         held.append(
             taskvictims.Held(
                 run.task,
@@ -76,7 +82,7 @@
                 entry.job.priority,
                 step.gang,
                 step.long_running,
-                max(0, now_ms - since_ms),
+                lost_ms,
                 run.phase in (ledgers.Phase.STOPPING, ledgers.Phase.LOST),
                 entry.job.id in covered,
             )
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
@@ -133,7 +133,6 @@
         run.acked_ms = now_ms
     if running.checkpoint != run.checkpoint:
         run.checkpoint = running.checkpoint
-        run.checkpoint_ms = now_ms
 
 
 def _note_foreign(
