--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -10,10 +10,14 @@
 from typing import NamedTuple
 
 from cyclamenshelf_core import taskjobs
-from cyclamenshelf_core import taskreserve
 from cyclamenshelf_core import taskspace
 from cyclamenshelf_core import taskvictims
 
+# On each rack the emptiest workers, this many, are kept from single tasks of
+# the last priorities, so that urgent groups start without a stop, which takes
+# most of the time that their objective leaves.
+_KEPT_WORKERS = 1
+_KEPT_FROM_PRIORITY = 2
 # How many blocked groups of lower priority keep room held for them at once.
 _MAX_HOLDING = 3
 # A gang of lower priority makes room for itself when this is all that is left
@@ -45,10 +49,10 @@
 
 
 class Stop(NamedTuple):
-    """Stop a task to make room for a group; None for urgent ones to come."""
+    """Stop a task to make room for a group."""
 
     task: taskjobs.Task
-    beneficiary: taskjobs.Group | None
+    beneficiary: taskjobs.Group
 
 
 class Plan(NamedTuple):
@@ -75,7 +79,7 @@
     """State of one decision.
 
     Attributes:
-        taken: Workers on which tasks have been started or room is held.
+        kept: Workers that are kept from the groups that follow.
         unfit: By shape, the fewest tasks that do not fit into what is free;
             what is free only shrinks within a decision.
     """
@@ -92,7 +96,7 @@
         self.stops: list[Stop] = []
         self.blocked: list[taskjobs.Group] = []
         self.holding = 0
-        self.taken: set[str] = set()
+        self.kept: set[str] = set()
         self.unfit: dict[_Shape, int] = {}
 
     def get_soon(self, worker_id: str) -> taskjobs.Resources:
@@ -118,13 +122,10 @@
         counts: Tasks by job, step and worker, of steps that spread.
     """
     state = _Round(workers, held, counts)
-    kept: set[str] = set()
     for entry in sorted(waiting, key=_rank):
-        if entry.job.priority >= taskreserve.KEPT_FROM_PRIORITY and not kept:
-            kept = taskreserve.keep_workers(state.space, state.victims)
+        if entry.job.priority >= _KEPT_FROM_PRIORITY and not state.kept:
+            _keep_workers(state)
         _serve(state, entry)
-    if any(entry.priority == 0 for entry in held):
-        _refill_reserve(state)
     return Plan(state.starts, state.stops, state.blocked)
 
 
@@ -139,6 +140,22 @@
     )
 
 
+def _keep_workers(state: _Round) -> None:
+    """Keep the emptiest workers of each rack from the groups that follow."""
+    free = state.space.free
+    racks: dict[str, list[str]] = {}
+    for worker in state.space.workers.values():
+        racks.setdefault(worker.rack, []).append(worker.id)
+    for members in racks.values():
+        # A rack of one or two workers is not kept: most of it would idle.
+        if len(members) <= 2 * _KEPT_WORKERS:
+            continue
+        members.sort(key=lambda name: (free[name].accelerators, name))
+        for worker_id in members[-_KEPT_WORKERS:]:
+            state.kept.add(worker_id)
+            free[worker_id] = taskjobs.NOTHING
+
+
 def _serve(state: _Round, entry: Waiting) -> None:
     step = entry.job.steps[entry.group.step]
     far = _is_far_worth_it(state, entry)
@@ -228,7 +245,6 @@
 
 def _take(state: _Round, entry: Waiting, placed: list[str]) -> None:
     step = entry.job.steps[entry.group.step]
-    state.taken.update(placed)
     for worker_id in placed:
         taskspace.take(
             state.space,
@@ -288,8 +304,3 @@
             rank,
         )
         state.stops += [Stop(held.task, entry.group) for held in stops]
-
-
-def _refill_reserve(state: _Round) -> None:
-    stops = taskreserve.refill(state.space, state.victims, state.taken)
-    state.stops += [Stop(held.task, None) for held in stops]
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -197,18 +197,14 @@
     for stop in made.stops:
         run = owner.ledger.runs.get(stop.task)
         if run is not None:
-            ledgers.stop_run(owner.ledger, run, _explain(stop))
+            ledgers.stop_run(
+                owner.ledger, run, f"room_for_{stop.beneficiary.job_id}"
+            )
     spare = {entry.group: entry.spare_ms for entry in waiting}
     for start in made.starts:
         _start(owner, start, spare[start.group], times.now_ms)
 
 
-def _explain(stop: taskplan.Stop) -> str:
-    if stop.beneficiary is None:
-        return "room_for_urgent_work"
-    return f"room_for_{stop.beneficiary.job_id}"
-
-
 def _start(
     owner: ownerstate.Owner, start: taskplan.Start, spare_ms: int, now_ms: int
 ) -> None:
--- a/testing/core/test_taskplan.py
+++ b/testing/core/test_taskplan.py
@@ -225,28 +225,3 @@
     for stop in made.stops:
         beneficiary = jobs[stop.beneficiary.job_id]
         assert running[stop.task].priority > beneficiary.priority
-
-
-def make_full_rack(lost_ms):
-    """Return the rooms and tasks of a rack full of the last priority."""
-    names = ("w00", "w01", "w02")
-    rooms = builders.make_rooms(1, 3, **dict.fromkeys(names, taskjobs.NOTHING))
-    held = []
-    for name in names:
-        job = builders.make_job(name, builders.make_step(1, 8), priority=2)
-        held.append(builders.make_held(job, name, lost_ms=lost_ms))
-    return rooms, held
-
-
-@pytest.mark.parametrize(("lost_ms", "stops"), [(100, 1), (101, 0)])
-def test_worker_for_urgent_work_is_made_up_for_without_loss(lost_ms, stops):
-    # The next urgent group would wait for a stop, longer than it may.
-    rooms, held = make_full_rack(lost_ms)
-    urgent = builders.make_job("urgent", priority=0)
-    assert not plan([], rooms, held).stops
-    held.append(builders.make_held(urgent, "w00"))
-    made = plan([], rooms, held)
-    assert [stop.beneficiary for stop in made.stops] == [None] * stops
-    if stops:
-        held[1] = held[1]._replace(stopping=True)
-        assert not plan([], rooms, held).stops
