Run steps where the recommendation service approves

Cause: a queue can leave the choice of workers to the platform's recommendation service; a start there without its ticket is refused. That reason was not decoded, so it counted as no answer: each run would have waited for an answered stop, and no job of such a queue would ever have run.

Tickets hold for one life of a worker and for their time.

--- a/packages/core/src/cyclamenshelf_core/taskjobs.py
+++ b/packages/core/src/cyclamenshelf_core/taskjobs.py
@@ -192,8 +192,12 @@
 
 def format_task(task: Task) -> str:
     """Return the name that workers know a task by."""
-    job_id, occurrence, step = task.group
-    return f"{job_id}.{occurrence}.{step}.{task.index}"
+    return f"{format_group(task.group)}.{task.index}"
+
+
+def format_group(group: Group) -> str:
+    """Return the name that the platform knows a step of an occurrence by."""
+    return f"{group.job_id}.{group.occurrence}.{group.step}"
 
 
 def parse_task(name: str) -> Task | None:
--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -32,6 +32,7 @@
         indexes: The tasks; for a gang, all of them.
         spare_ms: Time left until a start would miss the objective.
         guaranteed: Whether the account's guarantee covers the job.
+        allowed: Workers that may run it; None for any.
     """
 
     job: taskjobs.TaskJob
@@ -39,6 +40,7 @@
     indexes: tuple[int, ...]
     spare_ms: int
     guaranteed: bool
+    allowed: frozenset[str] | None = None
 
 
 class Start(NamedTuple):
@@ -73,6 +75,7 @@
     gang: bool
     same_rack: bool
     far: bool
+    allowed: frozenset[str] | None
 
 
 class _Round:
@@ -201,6 +204,7 @@
         step.gang,
         step.same_rack,
         far,
+        entry.allowed,
     )
     # Single tasks are placed as far as they fit, so only none is no room.
     wanted = tasks if step.gang else 1
@@ -225,11 +229,23 @@
 ) -> list[str]:
     number, tasks = entry.group.step, len(entry.indexes)
     found = taskspace.find_workers(
-        state.space, entry.job, number, tasks, get_room, False
+        state.space,
+        entry.job,
+        number,
+        tasks,
+        get_room,
+        allow_far=False,
+        allowed=entry.allowed,
     )
     if len(found) < tasks and far:
         wider = taskspace.find_workers(
-            state.space, entry.job, number, tasks, get_room, True
+            state.space,
+            entry.job,
+            number,
+            tasks,
+            get_room,
+            allow_far=True,
+            allowed=entry.allowed,
         )
         found = max(found, wider, key=len)
     return found
@@ -291,6 +307,7 @@
         get_room,
         far,
         weigh,
+        entry.allowed,
     )
     if step.gang and len(placed) < len(entry.indexes):
         return
--- a/packages/core/src/cyclamenshelf_core/taskspace.py
+++ b/packages/core/src/cyclamenshelf_core/taskspace.py
@@ -89,6 +89,7 @@
     get_room: Callable[[str], taskjobs.Resources],
     allow_far: bool,
     weigh: Callable[[str], float] = lambda worker_id: 0,
+    allowed: frozenset[str] | None = None,
 ) -> list[str]:
     """Return a worker for each of as many tasks of a step as fit.
 
@@ -104,10 +105,13 @@
         get_room: Room to count with on a worker.
         allow_far: Whether tasks may run where they are slow.
         weigh: What a task costs on a worker; the least is taken first.
+        allowed: Workers that may run the step; None for any.
     """
     step = job.steps[number]
     near_rack = "" if allow_far else step.data_rack
-    slots, rooms = _count_slots(space, job, number, get_room, near_rack)
+    slots, rooms = _count_slots(
+        space, job, number, get_room, near_rack, allowed
+    )
     if step.gang and step.same_rack:
         chosen = _choose_rack(space, slots, tasks, step.data_rack, weigh)
         if chosen is not None:
@@ -142,6 +146,7 @@
     number: int,
     get_room: Callable[[str], taskjobs.Resources],
     near_rack: str,
+    allowed: frozenset[str] | None,
 ) -> tuple[dict[str, int], dict[str, taskjobs.Resources]]:
     """Return how many tasks fit on each worker, and the room counted with.
 
@@ -151,6 +156,7 @@
         number: Number of its step.
         get_room: Room to count with on a worker.
         near_rack: Rack to stay on; empty for any.
+        allowed: Workers that may run the step; None for any.
     """
     step = job.steps[number]
     slots: dict[str, int] = {}
@@ -158,6 +164,8 @@
     for worker in list_allowed(space, job, step):
         if near_rack and worker.rack != near_rack:
             continue
+        if allowed is not None and worker.id not in allowed:
+            continue
         room = get_room(worker.id)
         count = taskjobs.count_fitting(room, step.need)
         if step.max_per_worker and count:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -35,6 +35,7 @@
         decode_worker: See `ownerstate.OwnerContext`.
         lease_ms: Length of the leases of workers.
         keep_ended_ms: How long the rows of ended jobs are kept.
+        advise: See `ownerstate.OwnerContext`.
     """
 
     store: ports.Store
@@ -48,6 +49,7 @@
     decode_worker: Callable[[ports.Row], ports.WorkerInfo | None]
     lease_ms: int
     keep_ended_ms: int
+    advise: ports.Advise | None = None
 
 
 class Host(NamedTuple):
@@ -85,6 +87,7 @@
         lambda: known.lists,
         context.lease_ms,
         context.keep_ended_ms,
+        context.advise,
     )
     owner_thread = ownership.start_holding(
         ownership.Ownership(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/orders.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/orders.py
@@ -45,15 +45,22 @@
     on_fenced: Callable[[fleet.Worker], None]
 
 
+class Start(NamedTuple):
+    """What a start carries; see `ports.StartOrder`."""
+
+    payload: str
+    checkpoint: str
+    ticket: str
+
+
 def send_start(
     context: OrderContext,
     worker: fleet.Worker,
     run: ledgers.Run,
-    payload: str,
-    checkpoint: str,
+    start: Start,
 ) -> None:
     """Send a start in a thread of the pool."""
-    _submit(context, "start_failed", _start, worker, run, payload, checkpoint)
+    _submit(context, "start_failed", _start, worker, run, start)
 
 
 def send_stop(
@@ -86,8 +93,7 @@
     context: OrderContext,
     worker: fleet.Worker,
     run: ledgers.Run,
-    payload: str,
-    checkpoint: str,
+    start: Start,
 ) -> None:
     tries = 0
     for _ in range(_START_TRIES):
@@ -101,10 +107,11 @@
             worker.info,
             taskjobs.format_task(run.task),
             run.number,
-            payload,
-            checkpoint,
+            start.payload,
+            start.checkpoint,
             lease,
             context.tenure.epoch,
+            start.ticket,
         )
         tries += 1
         try:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -16,6 +16,7 @@
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import links
 from cyclamenshelf_daemon.tasks import orders
+from cyclamenshelf_daemon.tasks import owneradvice
 from cyclamenshelf_daemon.tasks import ownerjobs
 from cyclamenshelf_daemon.tasks import ownerrows
 from cyclamenshelf_daemon.tasks import ownerruns
@@ -116,6 +117,7 @@
         _NEWS_WAIT_MS,
     )
     ownerworkers.follow_list(owner, _NEWS_WAIT_MS)
+    owneradvice.start(owner)
     writer.start_writer(
         writer.WriterContext(
             context.store,
@@ -180,20 +182,25 @@
         return
     times = planning.Times(clock.now_ms(), clock.wall_ms())
     lists = owner.context.get_lists()
+    rooms = planning.list_rooms(
+        owner.ledger, owner.workers.values(), times.now_ms
+    )
     waiting = planning.list_waiting(
         owner.ledger,
         lists,
         times,
         _list_blocked(owner, times.now_ms),
     )
+    waiting = [owneradvice.restrict(owner, entry) for entry in waiting]
     if not waiting:
         return
     made = taskplan.plan(
         waiting,
         planning.list_held(owner.ledger, lists, times.now_ms),
-        planning.list_rooms(owner.ledger, owner.workers.values(), times.now_ms),
+        rooms,
         planning.count_spread(owner.ledger),
     )
+    owneradvice.ask_for(owner, waiting, set(made.blocked), rooms)
     for stop in made.stops:
         run = owner.ledger.runs.get(stop.task)
         if run is not None:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerrows.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerrows.py
@@ -1,6 +1,7 @@
 """Rows that the owner writes: progress of jobs, and removal of old ones."""
 
 from cyclamenshelf_core import taskprogress
+from cyclamenshelf_daemon.tasks import advice
 from cyclamenshelf_daemon.tasks import jobstates
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import ownerruns
@@ -94,6 +95,7 @@
             continue
         if value is None:
             owner.ledger.jobs.pop(key.key, None)
+            advice.drop_job(owner.advice, key.key)
         elif key.key in owner.ledger.jobs:
             owner.ledger.jobs[key.key].progress_version = versions[key]
     _mark_stored(owner, batch.marks)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
@@ -3,8 +3,10 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon.tasks import advice
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import orders
+from cyclamenshelf_daemon.tasks import owneradvice
 from cyclamenshelf_daemon.tasks import ownerstate
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import reports
@@ -35,6 +37,8 @@
         worker=run.worker_id,
         reason=refusal,
     )
+    if refusal is ports.Refusal.NO_TICKET:
+        advice.drop_ticket(owner.advice, run.task.group, run.worker_id)
     ownerstate.withdraw_run(owner, run, now_ms)
 
 
@@ -102,19 +106,28 @@
         or run.phase is not ledgers.Phase.PLANNED
     ):
         return
+    now_ms = owner.context.clock.now_ms()
     if worker is None:
-        ownerstate.withdraw_run(owner, run, owner.context.clock.now_ms())
+        ownerstate.withdraw_run(owner, run, now_ms)
         return
     entry = owner.ledger.jobs[run.task.group.job_id]
+    ticket = advice.get_ticket(owner.advice, run.task.group, worker, now_ms)
+    if not ticket and owneradvice.get_terms(owner, entry) is not None:
+        # It has lapsed while the worker was stored.
+        ownerstate.withdraw_run(owner, run, now_ms)
+        return
     keeper = taskprogress.get_keeper(entry.job, run.task)
     run.phase = ledgers.Phase.STARTING
-    run.since_ms = owner.context.clock.now_ms()
+    run.since_ms = now_ms
     orders.send_start(
         owner.orders,
         worker,
         run,
-        entry.job.payload,
-        entry.progress.checkpoints.get(keeper, ""),
+        orders.Start(
+            entry.job.payload,
+            entry.progress.checkpoints.get(keeper, ""),
+            ticket,
+        ),
     )
 
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_daemon.tasks import advice
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import following
 from cyclamenshelf_daemon.tasks import ledger as ledgers
@@ -32,6 +33,7 @@
         get_lists: Returns the lists in force.
         lease_ms: Length of the leases of workers.
         keep_ended_ms: How long the rows of ended jobs are kept.
+        advise: Asks which workers may run a step; None if no queue has it.
     """
 
     store: ports.Store
@@ -42,6 +44,7 @@
     get_lists: Callable[[], queues.Lists]
     lease_ms: int
     keep_ended_ms: int
+    advise: ports.Advise | None = None
 
 
 class Owner:
@@ -81,6 +84,7 @@
         )
         self.listed: dict[str, ports.WorkerInfo] | None = None
         self.listed_ms = 0
+        self.advice = advice.Advice()
         self.work = following.Copy(submission.WORK_TABLE)
         self.pool = concurrent.futures.ThreadPoolExecutor(_POOL_THREADS)
         self.links: links.LinkContext | None = None
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
@@ -141,6 +141,7 @@
     LATE = "late"
     NO_ROOM = "no_room"
     GONE = "gone"
+    NO_TICKET = "no_ticket"
     UNHEALTHY = "unhealthy"
     INVALID = "invalid"
 
@@ -150,6 +151,7 @@
 
     Attributes:
         lease_until_ms: End of the lease on the worker's clock.
+        ticket: Approval of the recommendation service; empty if none is due.
     """
 
     worker: WorkerInfo
@@ -159,6 +161,7 @@
     checkpoint: str
     lease_until_ms: int
     epoch: int
+    ticket: str = ""
 
 
 class StopOrder(NamedTuple):
@@ -187,6 +190,27 @@
     wait_ms: int
 
 
+class Advised(NamedTuple):
+    """Which of the named workers may run a step.
+
+    Attributes:
+        tickets: What a start on the worker has to carry, by worker.
+        valid_ms: How long the tickets are valid.
+    """
+
+    tickets: dict[str, str]
+    valid_ms: int
+
+
+class AdviserSilentError(Exception):
+    """The recommendation service gave no answer, or refused the call."""
+
+
+# Asks which workers may run a step. Arguments: the step's name, ids of
+# workers, time limit in ms. Raises AdviserSilentError.
+Advise = Callable[[str, tuple[str, ...], int], Advised]
+
+
 class WorkerSilentError(Exception):
     """A worker gave no answer; the order may be carried out, also later."""
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/queues.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/queues.py
@@ -4,11 +4,24 @@
 from typing import NamedTuple
 
 
+class AdviceTerms(NamedTuple):
+    """How the recommendation service answers for a queue.
+
+    Attributes:
+        decision_ms: Time that an answer takes.
+        worker_ms: Time on top for each worker that is named.
+    """
+
+    decision_ms: int
+    worker_ms: int
+
+
 class Queue(NamedTuple):
     """A queue that callers hand jobs in to.
 
     Attributes:
         public: Whether calls need no key.
+        advice: How to learn which workers may run a step; None if all may.
     """
 
     name: str
@@ -20,6 +33,7 @@
     slowdown_factor: float
     target_latency_ms: int
     public: bool
+    advice: AdviceTerms | None = None
 
 
 class ClientAccount(NamedTuple):
--- a/testing/daemon/tasks/conftest.py
+++ b/testing/daemon/tasks/conftest.py
@@ -38,6 +38,8 @@
 
     def __init__(self):
         self.fake = fakestore.FakeStore()
+        self.lists = LISTS
+        self.advise = None
         self.infos = {}
         self.workers = [
             fakefleet.FakeWorker("w0"),
@@ -74,9 +76,10 @@
             self.clock,
             WORKERS_TABLE,
             lambda row: self.infos.get(row.value),
-            lambda: LISTS,
+            lambda: self.lists,
             lease_ms,
             60_000,
+            self.advise,
         )
         self.tenures.append(tenure)
         self.owners.append(owners.start_owner(context, tenure))
--- a/testing/daemon/tasks/fakefleet.py
+++ b/testing/daemon/tasks/fakefleet.py
@@ -20,6 +20,7 @@
         lose_starts: How many starts are carried out without an answer.
         late: Starts that got no answer and are carried out by `deliver`.
         hold_starts: How many starts go to `late`.
+        tickets: Tickets that a start may carry; None if it needs none.
         started: Names and numbers of all runs begun, in order.
     """
 
@@ -39,6 +40,7 @@
         self.hold_starts = 0
         self.late = []
         self.refuse = None
+        self.tickets = None
         self.started = []
         self.lock = threading.Lock()
         self.reset()
@@ -85,6 +87,8 @@
         with self.lock:
             if (refusal := self._fence(order.epoch)) or self.refuse:
                 return refusal or self.refuse
+            if self.tickets is not None and order.ticket not in self.tickets:
+                return ports.Refusal.NO_TICKET
             if self.running.get(order.name) == order.run:
                 return None
             if order.run <= self.barred.get(order.name, 0):
--- /dev/null
+++ b/testing/daemon/tasks/test_advice.py
@@ -0,0 +1,159 @@
+"""Queues whose steps run only where the recommendation service approves."""
+
+import threading
+
+import pytest
+from testing.core import taskbuilders as builders
+from testing.daemon.tasks import conftest
+
+from cyclamenshelf_core import taskjobs
+from cyclamenshelf_core import taskprogress
+from cyclamenshelf_daemon.tasks import advice
+from cyclamenshelf_daemon.tasks import fleet
+from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks import queues
+
+State = taskprogress.State
+TERMS = queues.AdviceTerms(1, 1)
+GROUP = taskjobs.Group("j", 0, 0)
+
+
+class Adviser:
+    """The service: approves some workers, and knows the tickets it gave.
+
+    Attributes:
+        failures: How many calls get no answer.
+        busy: Calls under way at this moment, and the most there ever were.
+    """
+
+    def __init__(self, cell, approved):
+        self.cell = cell
+        self.approved = approved
+        self.valid_ms = 60_000
+        self.failures = 0
+        self.calls = []
+        self.busy = self.most_busy = 0
+        self.lock = threading.Lock()
+
+    def advise(self, step, workers, timeout_ms):
+        with self.lock:
+            self.calls.append((step, workers))
+            self.busy += 1
+            self.most_busy = max(self.most_busy, self.busy)
+        threading.Event().wait(0.01)
+        with self.lock:
+            self.busy -= 1
+            if self.failures:
+                self.failures -= 1
+                raise ports.AdviserSilentError("status 429")
+            return ports.Advised(
+                {
+                    name: self.give(name)
+                    for name in workers
+                    if name in self.approved
+                },
+                self.valid_ms,
+            )
+
+    def give(self, name):
+        ticket = f"{name}-{len(self.calls)}"
+        for worker in self.cell.workers:
+            if worker.info.id == name:
+                worker.tickets.add(ticket)
+        return ticket
+
+
+@pytest.fixture
+def adviser(cell):
+    made = Adviser(cell, {"w1"})
+    cell.advise = made.advise
+    (queue,) = cell.lists.queues
+    cell.lists = cell.lists._replace(queues=(queue._replace(advice=TERMS),))
+    for worker in cell.workers:
+        worker.tickets = set()
+    return made
+
+
+def test_step_runs_on_approved_workers_only(cell, adviser):
+    cell.take_over()
+    job_id = cell.submit(builders.make_step(3))
+    cell.wait_for_runs(job_id, 3)
+    assert not cell.workers[0].started
+    cell.end_all(job_id)
+    cell.wait_for_state(job_id, State.COMPLETED)
+    # What the service has said of a worker does not change.
+    assert adviser.calls == [(f"{job_id}.0.0", ("w0", "w1"))]
+
+
+def test_each_step_is_asked_for_in_turn(cell, adviser):
+    cell.take_over()
+    jobs = [cell.submit(builders.make_step(1)) for _ in range(5)]
+    for job_id in jobs:
+        cell.wait_for_runs(job_id, 1)
+    assert adviser.most_busy == 1
+
+
+def test_refused_ticket_is_asked_for_again(cell, adviser):
+    adviser.give = lambda name: "stale" if len(adviser.calls) == 1 else "good"
+    cell.workers[1].tickets.add("good")
+    cell.take_over()
+    job_id = cell.submit(builders.make_step(1))
+    cell.wait_for_runs(job_id, 1)
+    assert len(adviser.calls) == 2
+
+
+def test_silent_service_is_asked_again(cell, adviser):
+    adviser.failures = 2
+    cell.take_over()
+    job_id = cell.submit(builders.make_step(1))
+    cell.wait_for_runs(job_id, 1)
+    assert len(adviser.calls) == 3
+
+
+def test_approval_by_nobody_keeps_the_step_waiting(cell, adviser):
+    adviser.approved.clear()
+    cell.take_over()
+    job_id = cell.submit(builders.make_step(1))
+    conftest.wait_until(lambda: adviser.calls, "the service is asked")
+    other = cell.submit(builders.make_step(1), queue="other")
+    for worker in cell.workers:
+        worker.tickets = None
+    cell.wait_for_runs(other, 1)
+    assert not cell.list_runs(job_id)
+    assert len(adviser.calls) == 1
+
+
+@pytest.fixture
+def asked():
+    """A step that a service has approved for worker w0, at 1,000 ms."""
+    known = advice.Advice()
+    worker = fleet.Worker(
+        ports.WorkerInfo(
+            "w0", 5, "w0:1", "s", "r", frozenset(), taskjobs.NOTHING, None
+        )
+    )
+    advice.ask(known, GROUP, (0, 0), [worker], TERMS, 1_000)
+    answer = ports.Advised({"w0": "t"}, 3_000)
+    advice.note_answer(known, known.asks.get(), answer, 1_000)
+    return known, worker
+
+
+@pytest.mark.parametrize(
+    ("now_ms", "born_ms", "ticket"),
+    [(1_000, 5, "t"), (3_599, 5, "t"), (3_600, 5, ""), (1_000, 6, "")],
+)
+def test_ticket_is_for_a_time_and_one_life(asked, now_ms, born_ms, ticket):
+    known, worker = asked
+    worker.info = worker.info._replace(born_ms=born_ms)
+    assert advice.get_ticket(known, GROUP, worker, now_ms) == ticket
+    usable = advice.list_usable(known, GROUP, {"w0": worker}, now_ms)
+    assert usable == ({"w0"} if ticket else set())
+
+
+def test_step_has_one_call_at_a_time_and_forgets_with_its_job(asked):
+    known, worker = asked
+    advice.ask(known, GROUP, (0, 0), [worker], TERMS, 9_000)
+    advice.ask(known, GROUP, (0, 0), [worker], TERMS, 9_000)
+    assert known.asks.qsize() == 1
+    advice.drop_job(known, "j")
+    assert not known.steps
--- a/testing/platform/standin.py
+++ b/testing/platform/standin.py
@@ -109,6 +109,34 @@
         )
 
 
+class AdviserServer:
+    """The recommendation service: approves the first worker it is named.
+
+    Attributes:
+        status: Status of the next answers.
+    """
+
+    def __init__(self):
+        self.status = 200
+        self.bodies = []
+        self.server = webserver.start_server(
+            "127.0.0.1", 0, self.handle, threads=2, stop_timeout_s=0
+        )
+
+    @property
+    def url(self):
+        return f"http://127.0.0.1:{self.server.port}"
+
+    def handle(self, request):
+        assert (request.method, request.path) == ("POST", "/api/advise")
+        body = json.loads(request.body)
+        self.bodies.append(body)
+        approved = [[body["workers"][0], "c81e-7a21d94b"]]
+        return webserver.make_json(
+            self.status, {"approved": approved, "validity_ms": 3000}
+        )
+
+
 class RunnerServer:
     """A runner, by the rules of the fake worker behind it."""
 
@@ -163,6 +191,7 @@
             body.get("checkpoint", ""),
             body["deadline_ms"],
             body["fencing_token"],
+            body.get("ticket", ""),
         )
         return encode_refusal(self.worker.start(order, 0))
 
@@ -202,6 +231,7 @@
     ports.Refusal.OLD: "old",
     ports.Refusal.NO_ROOM: "room",
     ports.Refusal.LATE: "late",
+    ports.Refusal.NO_TICKET: "ticket",
 }
 
 
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -13,6 +13,7 @@
 from cyclamenshelf_core import errors
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks import queues
 
 KEY = ports.RowKey("servers", "i-1")
 ENTRY = {
@@ -44,6 +45,24 @@
     assert worker.draining_ms is None
 
 
+@pytest.mark.parametrize(
+    ("terms", "expected"),
+    [
+        ({}, None),
+        ({"recommendation": None}, None),
+        (
+            {"recommendation": {"decision_ms": 40, "period_ms": 3}},
+            queues.AdviceTerms(40, 3),
+        ),
+    ],
+)
+def test_queue_says_how_its_steps_are_advised(terms, expected):
+    config = json.loads(standin.make_config())
+    config["routes"][0] |= terms
+    row = ports.Row(operator.LISTS_KEY, 3, json.dumps(config).encode())
+    assert operator.decode_lists(row).queues[0].advice == expected
+
+
 def test_draining_entry_says_how_long_it_stays():
     value = ENTRY | {"state": "draining", "drain_remaining_ms": 900}
     assert decode_worker(json.dumps(value).encode()).draining_ms == 900
