Keep tasks that fill away from tasks that serve users

Cause: a step may fill what others leave of a worker, and may serve users of its own with a tail target; the fields were not decoded, so a task that fills could push one that serves over its target for as long as both ran there. A lasting task on a leaving worker stayed until the worker was gone and was then away until its lease had lapsed.

Ruled out: pacing by the tail that workers report, which changes within seconds and takes most of the allowed time to measure; it would use the room beside serving tasks and can be added on top.

Change: both kinds are never placed on one worker, also within one decision; tasks that fill are stopped where a task that serves finds no other room; a lasting task is moved at the notice.

Failed first: test_tasks_that_fill_and_tasks_that_serve_keep_apart and its like, test_lasting_task_moves_as_soon_as_its_worker_leaves.

--- a/packages/core/src/cyclamenshelf_core/taskjobs.py
+++ b/packages/core/src/cyclamenshelf_core/taskjobs.py
@@ -38,6 +38,10 @@
         max_per_worker: Tasks of the step that a worker may run; 0 for any.
         speculative: Whether two copies of a task may run at once.
         long_running: Whether the tasks run until the job is cancelled.
+        fills: Whether the tasks only use what others leave; they slow down
+            tasks beside them that serve users.
+        tail_target_ms: Tail latency that tasks which serve users of their
+            own must stay below; 0 for other tasks.
     """
 
     tasks: int
@@ -52,6 +56,8 @@
     max_per_worker: int = 0
     speculative: bool = False
     long_running: bool = False
+    fills: bool = False
+    tail_target_ms: int = 0
 
 
 class TaskJob(NamedTuple):
--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -76,6 +76,8 @@
     same_rack: bool
     far: bool
     allowed: frozenset[str] | None
+    fills: bool
+    serves: bool
 
 
 class _Round:
@@ -94,6 +96,11 @@
         counts: dict[tuple[str, int, str], int],
     ) -> None:
         self.space = taskspace.Space(workers, counts)
+        for entry in held:
+            if entry.fills:
+                self.space.filling.add(entry.worker_id)
+            if entry.serves:
+                self.space.serving.add(entry.worker_id)
         self.victims = taskvictims.Victims(held)
         self.starts: list[Start] = []
         self.stops: list[Stop] = []
@@ -169,6 +176,8 @@
         return
     state.blocked.append(entry.group)
     rest = entry._replace(indexes=entry.indexes[len(placed) :])
+    if step.tail_target_ms:
+        _clear_workers(state, rest)
     if entry.job.priority == 0:
         _make_room(state, rest, far)
     elif step.gang and state.holding < _MAX_HOLDING:
@@ -205,6 +214,8 @@
         step.same_rack,
         far,
         entry.allowed,
+        step.fills,
+        step.tail_target_ms > 0,
     )
     # Single tasks are placed as far as they fit, so only none is no room.
     wanted = tasks if step.gang else 1
@@ -261,6 +272,7 @@
 
 def _take(state: _Round, entry: Waiting, placed: list[str]) -> None:
     step = entry.job.steps[entry.group.step]
+    taskspace.note_placed(state.space, step, placed)
     for worker_id in placed:
         taskspace.take(
             state.space,
@@ -321,3 +333,30 @@
             rank,
         )
         state.stops += [Stop(held.task, entry.group) for held in stops]
+
+
+def _clear_workers(state: _Round, entry: Waiting) -> None:
+    """Stop tasks that fill where tasks that serve would then have room."""
+    step, missing = entry.job.steps[entry.group.step], len(entry.indexes)
+    fills = {
+        worker.id: [
+            held
+            for held in state.victims.by_worker.get(worker.id, ())
+            if held.fills
+        ]
+        for worker in taskspace.list_allowed(state.space, entry.job, step)
+    }
+    for worker_id in sorted(fills, key=lambda name: (len(fills[name]), name)):
+        room = state.get_soon(worker_id)
+        for held in fills[worker_id]:
+            if not held.stopping and held.task not in state.victims.chosen:
+                room = taskjobs.add(room, held.need)
+        fitting = taskjobs.count_fitting(room, step.need)
+        if not fills[worker_id] or not fitting:
+            continue
+        for held in fills[worker_id]:
+            stops = state.victims.choose(held)
+            state.stops += [Stop(stop.task, entry.group) for stop in stops]
+        missing -= min(fitting, step.max_per_worker or fitting)
+        if missing <= 0:
+            return
--- a/packages/core/src/cyclamenshelf_core/taskspace.py
+++ b/packages/core/src/cyclamenshelf_core/taskspace.py
@@ -1,6 +1,7 @@
 """Room of the workers, as the planner uses it up."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from cyclamenshelf_core import taskjobs
@@ -31,6 +32,8 @@
         free: Room by worker id.
         counts: Tasks by step of a job and worker, for steps that spread.
         allowed: Workers by service and label, as far as asked for.
+        filling: Workers with tasks that fill.
+        serving: Workers with tasks that serve users of their own.
     """
 
     def __init__(
@@ -42,6 +45,8 @@
         self.free = {worker.id: worker.free for worker in workers.values()}
         self.counts = dict(counts)
         self.allowed: dict[tuple[str, str], list[WorkerRoom]] = {}
+        self.filling: set[str] = set()
+        self.serving: set[str] = set()
 
 
 def take(
@@ -66,6 +71,27 @@
     )
 
 
+def is_disturbed(space: Space, worker_id: str, step: taskjobs.Step) -> bool:
+    """Return whether tasks that fill and tasks that serve would be together.
+
+    By how much these disturb each other differs and changes within seconds,
+    so they are kept on different workers.
+    """
+    if step.fills:
+        return worker_id in space.serving
+    return step.tail_target_ms > 0 and worker_id in space.filling
+
+
+def note_placed(
+    space: Space, step: taskjobs.Step, worker_ids: Iterable[str]
+) -> None:
+    """Note that tasks of a step are on workers, or will be."""
+    if step.fills:
+        space.filling.update(worker_ids)
+    if step.tail_target_ms:
+        space.serving.update(worker_ids)
+
+
 def list_allowed(
     space: Space, job: taskjobs.TaskJob, step: taskjobs.Step
 ) -> list[WorkerRoom]:
@@ -166,6 +192,8 @@
             continue
         if allowed is not None and worker.id not in allowed:
             continue
+        if is_disturbed(space, worker.id, step):
+            continue
         room = get_room(worker.id)
         count = taskjobs.count_fitting(room, step.need)
         if step.max_per_worker and count:
--- a/packages/core/src/cyclamenshelf_core/taskvictims.py
+++ b/packages/core/src/cyclamenshelf_core/taskvictims.py
@@ -19,6 +19,8 @@
     Attributes:
         lost_ms: Work that a stop would throw away.
         guaranteed: Whether the account's guarantee covers the job.
+        fills: Whether it only uses what others leave.
+        serves: Whether it serves users of its own.
     """
 
     task: taskjobs.Task
@@ -30,6 +32,8 @@
     lost_ms: int
     stopping: bool
     guaranteed: bool
+    fills: bool = False
+    serves: bool = False
 
 
 class Rank(NamedTuple):
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
@@ -129,7 +129,8 @@
         entry = owner.ledger.jobs[run.task.group.job_id]
         step = entry.job.steps[run.task.group.step]
         rest_ms = step.expected_run_ms - (now_ms - run.since_ms)
-        if step.checkpointable or rest_ms > left_ms:
+        ends = not step.long_running and rest_ms <= left_ms
+        if step.checkpointable or not ends:
             ledgers.stop_run(owner.ledger, run, "worker_draining")
 
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -85,6 +85,8 @@
                 lost_ms,
                 run.phase in (ledgers.Phase.STOPPING, ledgers.Phase.LOST),
                 entry.job.id in covered,
+                step.fills,
+                step.tail_target_ms > 0,
             )
         )
     return held
--- a/testing/core/test_taskplan.py
+++ b/testing/core/test_taskplan.py
@@ -225,3 +225,57 @@
     for stop in made.stops:
         beneficiary = jobs[stop.beneficiary.job_id]
         assert running[stop.task].priority > beneficiary.priority
+
+
+def make_lasting(job_id, **values):
+    return builders.make_job(
+        job_id, builders.make_step(1, 1, long_running=True, **values)
+    )
+
+
+@pytest.mark.parametrize(
+    ("there", "new", "expected"),
+    [
+        ({"tail_target_ms": 50}, {"fills": True}, "w10"),
+        ({"fills": True}, {"tail_target_ms": 50}, "w10"),
+        ({"fills": True}, {"fills": True}, "w00"),
+        ({"fills": True}, {}, "w00"),
+    ],
+)
+def test_tasks_that_fill_and_tasks_that_serve_keep_apart(there, new, expected):
+    # A task that fills can push the tail of one beside it over its target.
+    first = make_lasting("first", **there)
+    rooms = builders.make_rooms(2, 1, w00=taskjobs.Resources(9_000, 9_000, 7))
+    step = first.steps[0]
+    held = builders.make_held(
+        first, "w00", fills=step.fills, serves=step.tail_target_ms > 0
+    )
+    made = plan(
+        [builders.make_waiting(make_lasting("new", **new))], rooms, [held]
+    )
+    assert list_starts(made) == {"new": [expected]}
+
+
+def test_tasks_of_one_decision_keep_apart():
+    waiting = [
+        builders.make_waiting(make_lasting("serves", tail_target_ms=50)),
+        builders.make_waiting(make_lasting("fills", fills=True)),
+    ]
+    assert len(list_starts(plan(waiting, builders.make_rooms(1, 1)))) == 1
+
+
+def test_tasks_that_fill_make_way_for_tasks_that_serve():
+    # They hold every worker, so a task that serves could run nowhere.
+    rooms = builders.make_rooms(2, 1)
+    held = [
+        builders.make_held(
+            make_lasting(f"fills{name}", fills=True), name, fills=True
+        )
+        for name in rooms
+    ]
+    serving = builders.make_waiting(make_lasting("serves", tail_target_ms=50))
+    made = plan([serving], rooms, held)
+    assert not made.starts
+    assert [stop.task for stop in made.stops] == [held[0].task]
+    held[0] = held[0]._replace(stopping=True)
+    assert not plan([serving], rooms, held).stops
--- a/testing/daemon/tasks/test_owner.py
+++ b/testing/daemon/tasks/test_owner.py
@@ -275,3 +275,16 @@
         cell.end_all(job_id)
     for job_id in jobs:
         cell.wait_for_state(job_id, State.COMPLETED)
+
+
+def test_lasting_task_moves_as_soon_as_its_worker_leaves(cell):
+    # It would run there until the worker is gone, and then be away until its
+    # lease has surely lapsed.
+    cell.take_over()
+    job_id = cell.submit(builders.make_step(1, long_running=True))
+    cell.wait_for_state(job_id, State.RUNNING)
+    worker = cell.find_worker(job_id)
+    worker.info = worker.info._replace(draining_ms=60_000)
+    cell.list_worker(worker)
+    cell.wait_for_runs(job_id, 2)
+    assert cell.find_worker(job_id) is not worker
