Let limits of writes follow the answers of the store

Cause: with the store 48 times slower the writes of a part wait for each other for up to a second. Inserts and progress writes gave up after 0.8 and 0.9 s and were sent again, though each was carried out, which made the wait longer; callers got 504 though their jobs were stored.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -6,6 +6,7 @@
 
 from cyclamenshelf_core import clock as clocks
 from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon.tasks import calltimes
 from cyclamenshelf_daemon.tasks import following
 from cyclamenshelf_daemon.tasks import jobstates
 from cyclamenshelf_daemon.tasks import knownlists
@@ -106,7 +107,7 @@
     return Host(
         known,
         jobstates.JobStates(),
-        submission.Submissions(store, known, clock),
+        submission.Submissions(store, known, clock, calltimes.CallTimes()),
         owner_thread,
         threading.Event(),
         stopping,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/submission.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/submission.py
@@ -8,14 +8,14 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon.tasks import calltimes
 from cyclamenshelf_daemon.tasks import jobstates
 from cyclamenshelf_daemon.tasks import knownlists
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import queues
 
 WORK_TABLE = "work"
-# One try of a write; a lost answer is found out by the next try.
-_TRY_MS = 800
+_READ_MS = 800
 _PAUSE_MS = 40
 _MAX_TRIES = 6
 # A store that refuses this often in a row is taken to be away: the caller is
@@ -33,11 +33,16 @@
 
 
 class Submissions(NamedTuple):
-    """What commands of callers need."""
+    """What commands of callers need.
+
+    Attributes:
+        times: Limits of writes; a lost answer is found out by the next try.
+    """
 
     store: ports.Store
     known: knownlists.KnownLists
     clock: clocks.Clock
+    times: calltimes.CallTimes
 
 
 class Caller(NamedTuple):
@@ -146,9 +151,8 @@
             admission, job_id, payload, steps, times, context.clock.wall_ms()
         )
         try:
-            version = context.store.commit(
-                _make_insert(job, context.known.key, lists),
-                min(_TRY_MS, left_ms),
+            version = _commit(
+                context, _make_insert(job, context.known.key, lists), left_ms
             )
         except errors.WriteConflictError as conflict:
             if conflict.versions.get(make_work_key(job_id), 0) > 0:
@@ -198,6 +202,21 @@
     )
 
 
+def _commit(
+    context: Submissions, transaction: ports.Transaction, left_ms: int
+) -> int:
+    """Make one try of a write within the time that is left for it."""
+    sent_ms = context.clock.now_ms()
+    limit_ms = min(context.times.limit_ms, left_ms)
+    try:
+        version = context.store.commit(transaction, limit_ms)
+    except errors.OutcomeUnknownError:
+        calltimes.note_silence(context.times)
+        raise
+    calltimes.note_answer(context.times, context.clock.now_ms() - sent_ms)
+    return version
+
+
 def cancel_job(context: Submissions, job_id: str, give_up_ms: int) -> bool:
     """Store the wish to cancel a job; return whether the job is known.
 
@@ -211,17 +230,13 @@
             raise errors.OutcomeUnknownError("table", "no time left")
         try:
             reading = context.store.read_row(
-                make_work_key(job_id), min(_TRY_MS, left_ms)
+                make_work_key(job_id), min(_READ_MS, left_ms)
             )
             if not reading.rows:
                 return False
-            context.store.commit(
-                ports.Transaction(
-                    {make_work_key(job_id): reading.rows[0].version, key: 0},
-                    {key: b"{}"},
-                ),
-                min(_TRY_MS, left_ms),
-            )
+            checks = {make_work_key(job_id): reading.rows[0].version, key: 0}
+            transaction = ports.Transaction(checks, {key: b"{}"})
+            _commit(context, transaction, left_ms)
         except errors.WriteConflictError as conflict:
             # Cancelled before, or removed after its end.
             return conflict.versions.get(key, 0) > 0
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/writer.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/writer.py
@@ -11,6 +11,7 @@
 from cyclamenshelf_core import errors
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import supervision
+from cyclamenshelf_daemon.tasks import calltimes
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import ownership
 from cyclamenshelf_daemon.tasks import ports
@@ -19,7 +20,6 @@
 # takes two: its expected version and its value. One is the epoch row's.
 MAX_ROWS = 48
 MAX_BYTES = 600_000
-_CALL_MS = 900
 
 
 class Batch(NamedTuple):
@@ -65,11 +65,12 @@
 
 def _run(context: WriterContext) -> None:
     generator = random.Random()
+    times = calltimes.CallTimes()
     while (batch := context.batches.get()) is not None:
         failures = 0
         versions = {key: row[0] for key, row in batch.rows.items()}
         while not context.tenure.ended.is_set():
-            written = _write_once(context, batch, versions)
+            written = _write_once(context, times, batch, versions)
             if written is not None:
                 context.on_written(batch, written)
                 break
@@ -80,6 +81,7 @@
 
 def _write_once(
     context: WriterContext,
+    times: calltimes.CallTimes,
     batch: Batch,
     versions: dict[ports.RowKey, int],
 ) -> dict[ports.RowKey, int] | None:
@@ -92,8 +94,9 @@
     deletes = tuple(key for key, row in batch.rows.items() if not row[1])
     epoch = {ownership.EPOCH_KEY: context.tenure.epoch_version}
     transaction = ports.Transaction(epoch | versions, puts, deletes)
+    sent_ms = context.clock.now_ms()
     try:
-        version = context.store.commit(transaction, _CALL_MS)
+        version = context.store.commit(transaction, times.limit_ms)
     except errors.WriteConflictError as conflict:
         if ownership.EPOCH_KEY in conflict.versions:
             logs.log_event(
@@ -106,6 +109,8 @@
         )
         return None
     except errors.StoreError as error:
+        if isinstance(error, errors.OutcomeUnknownError):
+            calltimes.note_silence(times)
         logs.log_event(
             "progress_not_written",
             "WARNING",
@@ -113,4 +118,5 @@
             detail=error,
         )
         return None
+    calltimes.note_answer(times, context.clock.now_ms() - sent_ms)
     return {key: version for key in puts}
