Count the age of the lists from the end of an idle wait

The lines on readiness show ages of 1,782 to 2,200 ms with nothing wrong: since the wait for changes of the lists is 1 s, their age, counted from the question, goes up to two waits, over the 1.8 s from which a host asks for no callers.

Ruled out: a wait of 0.5 s as before (twice the calls of all hosts); a higher limit alone (ages near the 2.5 s from which keyed calls are refused).

Change: an answer without changes that came at the end of its wait shows that moment. A change that is heard still counts from the question, so the limit of readiness is 2.2 s.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/following.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/following.py
@@ -128,6 +128,10 @@
         logs.log_event("history_lost", table=copy.table, version=copy.version)
         refresh(copy, store, clock)
         return
+    shown_ms = asked_ms
+    if not reading.rows and clock.now_ms() - asked_ms >= wait_ms:
+        # The store answers without changes only at the end of the wait.
+        shown_ms = asked_ms + wait_ms
     with copy.lock:
         newer = [
             row
@@ -139,11 +143,11 @@
                 copy.rows.pop(row.key.key, None)
             else:
                 copy.rows[row.key.key] = row
-        _note_version(copy, reading.version, asked_ms)
+        _note_version(copy, reading.version, shown_ms)
     if newer:
         copy.changed(newer)
 
 
-def _note_version(copy: Copy, version: int, asked_ms: int) -> None:
+def _note_version(copy: Copy, version: int, shown_ms: int) -> None:
     copy.version = max(version, copy.version or 0)
-    copy.confirmed_ms = max(asked_ms, copy.confirmed_ms or 0)
+    copy.confirmed_ms = max(shown_ms, copy.confirmed_ms or 0)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -20,7 +20,7 @@
 # Lists that were not confirmed for this long may be out of force.
 MAX_LISTS_AGE_MS = 2_500
 # A host that has not reached the store for this long asks for no callers.
-_READY_AGE_MS = 1_800
+_READY_AGE_MS = 2_200
 _LISTS_WAIT_MS = 1_000
 
 
