Answer calls through another host while the store is away from this one

The balancer uses hosts that are not ready where fewer than half of a data centre's are.

Ruled out: states of jobs from memory (a cut-off host cannot know that the job ended); readiness alone (see above; open connections stay, too).

Change: each host lists where other hosts reach it in a row of the store and reads the others' each 5 s. A call that fails here for the store, or comes when the lists have not been confirmed for 1.6 s, is passed on to up to three other hosts, those of the same data centre first, which admit and answer it as their own. A refusal is said only if no try here or there may have stored the job. Cost: one read each 5 s and host, one connection between hosts.

--- a/packages/daemon/src/cyclamenshelf_daemon/httpclient.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/httpclient.py
@@ -45,6 +45,7 @@
     body: bytes | None = None,
     headers: dict[str, str] | None = None,
     timeout_ms: int,
+    connect_ms: int = _CONNECT_TIMEOUT_MS,
 ) -> HttpResult:
     """Send a request once and return the whole answer.
 
@@ -52,7 +53,7 @@
         HttpFailureError: No whole answer came.
     """
     timeout = urllib3.Timeout(
-        connect=min(timeout_ms, _CONNECT_TIMEOUT_MS) / 1000,
+        connect=min(timeout_ms, connect_ms) / 1000,
         read=timeout_ms / 1000,
     )
     try:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -1,20 +1,24 @@
 """An entry host of the task scheduler: wires its parts together."""
 
 from collections.abc import Callable
+import random
 import threading
 from typing import NamedTuple
 
 from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_daemon import httpclient
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon.tasks import calltimes
 from cyclamenshelf_daemon.tasks import following
 from cyclamenshelf_daemon.tasks import jobstates
 from cyclamenshelf_daemon.tasks import knownlists
+from cyclamenshelf_daemon.tasks import members as memberships
 from cyclamenshelf_daemon.tasks import owner as owners
 from cyclamenshelf_daemon.tasks import ownership
 from cyclamenshelf_daemon.tasks import ownerstate
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import queues
+from cyclamenshelf_daemon.tasks import relay as relays
 from cyclamenshelf_daemon.tasks import submission
 
 # Lists that were not confirmed for this long may be out of force.
@@ -22,6 +26,7 @@
 # A host that has not reached the store for this long asks for no callers.
 _READY_AGE_MS = 2_200
 _LISTS_WAIT_MS = 1_000
+_PEER_CONNECTIONS = 4
 
 
 class HostContext(NamedTuple):
@@ -29,6 +34,8 @@
 
     Attributes:
         holder: Name of this host; one process at a time bears it.
+        data_centre: Where this host is.
+        peer_address: Where this host takes calls of other hosts.
         processors: Processors that this host may use.
         parts_together: See `ownership.make_lease_key`.
         lists_key: Row of the operators' lists.
@@ -44,6 +51,8 @@
     workers: ports.Workers
     clock: clocks.Clock
     holder: str
+    data_centre: str
+    peer_address: str
     processors: float
     parts_together: bool
     lists_key: ports.RowKey
@@ -67,6 +76,7 @@
     states: jobstates.JobStates
     submissions: submission.Submissions
     owner_thread: threading.Thread
+    relay: relays.Relay
     leaving: threading.Event
     stopping: threading.Event
 
@@ -103,12 +113,25 @@
             stopping=stopping,
         )
     )
+    members = memberships.Members(
+        memberships.Member(
+            context.holder, context.peer_address, context.data_centre
+        )
+    )
+    memberships.start_refreshing(members, store, clock, stopping)
     logs.log_event("host_started", holder=context.holder)
     return Host(
         known,
         jobstates.JobStates(),
         submission.Submissions(store, known, clock, calltimes.CallTimes()),
         owner_thread,
+        relays.Relay(
+            members,
+            known,
+            httpclient.make_pool(_PEER_CONNECTIONS),
+            clock,
+            random.Random(),
+        ),
         threading.Event(),
         stopping,
     )
--- a/testing/platform/standin.py
+++ b/testing/platform/standin.py
@@ -25,9 +25,10 @@
         busy: Whether every call is refused with 503.
     """
 
-    def __init__(self):
-        self.fake = fakestore.FakeStore()
+    def __init__(self, fake=None):
+        self.fake = fake or fakestore.FakeStore()
         self.busy = False
+        self.reads = []
         self.server = webserver.start_server(
             "127.0.0.1", 0, self.handle, threads=THREADS, stop_timeout_s=0
         )
@@ -36,6 +37,9 @@
     def address(self):
         return f"127.0.0.1:{self.server.port}"
 
+    def count_reads(self, table):
+        return self.reads.count(table)
+
     def handle(self, request):
         if self.busy:
             return webserver.make_json(503, {})
@@ -78,6 +82,7 @@
 
     def read(self, request):
         query = request.query
+        self.reads.append(query["table"])
         reading = self.fake.read(query["table"], 0, query.get("part", ""))
         rows = sorted(
             (
--- a/testing/platform/test_host.py
+++ b/testing/platform/test_host.py
@@ -1,5 +1,6 @@
 """A host as a process of its own, on stand-ins of the platform."""
 
+import contextlib
 import json
 import os
 import pathlib
@@ -33,17 +34,24 @@
         self.pool = urllib3.PoolManager(retries=False)
         self.hosts = []
         self.ports = {}
-
-    def start(self, name):
-        callers, readiness, metrics = (find_port() for _ in range(3))
+        self.stores = {}
+
+    def start(self, name, own_store=False):
+        """Start a host; it may have a way of its own to the one store."""
+        self.stores[name] = self.store
+        if own_store:
+            self.stores[name] = standin.StoreServer(self.store.fake)
+        callers, readiness = find_port(), find_port()
+        metrics = find_port_pair()
         path = self.directory / f"{name}.conf"
         path.write_text(
             f"node_name={name}\n"
+            "zone=z\n"
             "ip_address=127.0.0.1\n"
             f"listen_addresses.front_addr=127.0.0.1:{callers}\n"
             f"listen_addresses.readiness_addr=127.0.0.1:{readiness}\n"
-            f"internal_port_range={metrics},{metrics}\n"
-            f"platform.address={self.store.address}\n"
+            f"internal_port_range={metrics},{metrics + 1}\n"
+            f"platform.address={self.stores[name].address}\n"
             "platform.cross_partition=true\n"
             "limits.cpu_share=0.537\n"
             "limits.cpu_cores=2\n"
@@ -83,6 +91,17 @@
         )
         return response.status, json.loads(response.data or b"{}")
 
+    def wait_for_peers(self, name):
+        """Wait until a host has read its row beside that of another."""
+        read = self.stores[name].count_reads
+        wait_until(lambda: len(self.list_hosts()) > 1, "hosts are listed")
+        seen = read("hosts")
+        wait_until(lambda: read("hosts") > seen, f"{name} reads them")
+        time.sleep(0.1)
+
+    def list_hosts(self):
+        return self.store.fake.read("hosts", 0).rows
+
     def wait_for_state(self, name, state):
         wait_until(
             lambda: self.call(name, "GET") == (200, {"state": state}), state
@@ -102,6 +121,15 @@
         return probe.getsockname()[1]
 
 
+def find_port_pair():
+    """Return a free port whose next one is free too."""
+    while True:
+        port = find_port()
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port + 1))
+            return port
+
+
 @pytest.fixture
 def site(tmp_path):
     made = Site(tmp_path)
@@ -110,7 +138,8 @@
         host.kill()
         host.wait()
     made.pool.clear()
-    made.store.server.stop()
+    for store in {made.store, *made.stores.values()}:
+        store.server.stop()
     made.runner.server.stop()
 
 
@@ -177,3 +206,19 @@
     assert site.call("a", "POST", body=BODY)[0] == 200
     assert owner.wait(LIMIT_S) == 0
     site.wait_for_state("b", "running")
+
+
+def test_host_that_the_store_refuses_answers_through_another(site):
+    # Callers of hosts that were cut off were told 503 for as long, though
+    # other hosts served.
+    site.start("a")
+    site.start("b", own_store=True)
+    site.wait_for_peers("b")
+    assert site.call("a", "POST", body=BODY)[0] == 200
+    site.stores["b"].busy = True
+    assert site.call("b", "GET")[1]["state"] in ("queued", "running")
+    job = "/q/00000000000000b2"
+    assert site.call("b", "POST", job, body=BODY)[0] == 200
+    assert site.call("a", "GET", job)[0] == 200
+    assert site.call("b", "POST", job, body=BODY, key="no")[0] == 401
+    assert site.call("b", "DELETE", job)[0] == 200
