Let an owner that may not decide wait before it looks again

Cause: since decisions are followed by a pause that depends on their duration, an owner whose lease is not proved, or that has not read the list of workers yet, had a pause of nothing: it went round once a millisecond for as long as the store was away.

Change: it looks again after 50 ms, or with the next call. Failed first: test_owner_that_may_not_decide_waits_before_it_looks_again. Found by reading; no run shows what it cost.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -32,6 +32,8 @@
 # A decision is followed by this many times its own duration without one, so
 # that answers of workers are taken over and leases renewed on large fleets.
 _REST = 3
+# How soon an owner whose lease is not proved looks at it again.
+_UNPROVED_MS = 50
 # Ends and jobs that arrive together are planned together.
 _GATHER_MS = 5
 
@@ -135,12 +137,8 @@
 
 def _run_calls(owner: ownerstate.Owner) -> None:
     """Wait for the next call, then run all that have come."""
-    now_ms = owner.context.clock.now_ms()
-    wait_ms = _TICK_MS
-    if owner.changed:
-        wait_ms = min(wait_ms, owner.decided_ms + owner.pause_ms - now_ms)
     try:
-        call = owner.calls.get(timeout=max(1, wait_ms) / 1000)
+        call = owner.calls.get(timeout=_choose_wait(owner) / 1000)
     except queue.Empty:
         return
     call()
@@ -149,6 +147,15 @@
         owner.calls.get()()
 
 
+def _choose_wait(owner: ownerstate.Owner) -> int:
+    """Return how long to wait for a call before the next round, in ms."""
+    if not owner.changed or owner.listed is None:
+        return _TICK_MS
+    due_ms = owner.decided_ms + owner.pause_ms
+    left_ms = due_ms - owner.context.clock.now_ms()
+    return max(1, min(_TICK_MS, left_ms))
+
+
 def _list_blocked(owner: ownerstate.Owner, now_ms: int) -> set[str]:
     """Return the jobs that may have tasks running unseen."""
     if now_ms >= owner.clear_ms:
@@ -170,17 +177,17 @@
         return
     if began_ms < owner.decided_ms + owner.pause_ms:
         return
-    owner.changed = False
     owner.decided_ms = began_ms
+    if not ownership.is_proved(owner.tenure, clock):
+        owner.pause_ms = _UNPROVED_MS
+        return
+    owner.changed = False
     _decide(owner)
     owner.pause_ms = _REST * (clock.now_ms() - began_ms)
 
 
 def _decide(owner: ownerstate.Owner) -> None:
     clock = owner.context.clock
-    if not ownership.is_proved(owner.tenure, clock):
-        owner.changed = True
-        return
     times = planning.Times(clock.now_ms(), clock.wall_ms())
     lists = owner.context.get_lists()
     rooms = planning.list_rooms(
--- a/testing/daemon/tasks/test_owner.py
+++ b/testing/daemon/tasks/test_owner.py
@@ -7,7 +7,9 @@
 
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_daemon.tasks import fleet
+from cyclamenshelf_daemon.tasks import owner as owners
 from cyclamenshelf_daemon.tasks import ownership
+from cyclamenshelf_daemon.tasks import ownerstate
 from cyclamenshelf_daemon.tasks import ports
 
 State = taskprogress.State
@@ -308,3 +310,16 @@
     cell.wait_for_runs(job_id, 1)
     cell.end_all(job_id)
     cell.wait_for_state(job_id, State.COMPLETED)
+
+
+def test_owner_that_may_not_decide_waits_before_it_looks_again(cell):
+    # It went round a thousand times a second while the store was away.
+    cell.take_over()
+    unproved = ownership.Tenure(2, 1, -1_000_000)
+    owner = ownerstate.Owner(cell.owners[0].context, unproved)
+    assert owners._choose_wait(owner) == owners._TICK_MS
+    owner.listed = {}
+    owners._decide_if_due(owner)
+    assert owner.changed
+    assert owner.pause_ms >= 50
+    assert owners._choose_wait(owner) > 1
