--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/relay.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/relay.py
@@ -38,6 +38,12 @@
     {"connection", "content-length", "keep-alive", "transfer-encoding"}
 )
 _ANSWER_HEADERS = ("Content-Type", "Retry-After")
+# Why a call is passed on.
+_FAILURES = (
+    errors.ConfigurationUnconfirmedError,
+    errors.StoreDownError,
+    errors.OutcomeUnknownError,
+)
 
 
 class Relay(NamedTuple):
@@ -70,39 +76,52 @@
         errors.OutcomeUnknownError: It may have been done here or there.
     """
     give_up_ms = relay.clock.now_ms() + limit_ms - _ANSWER_MS
-    refusal: errors.RequestRefusedError | None = None
-    unknown: errors.OutcomeUnknownError | None = None
+    failure: errors.CyclamenshelfError | None = None
     if not is_cut(relay):
-        here_ms = limit_ms
-        if relay.members.others:
-            here_ms = int(limit_ms * _SHARE_HERE)
+        share = _SHARE_HERE if relay.members.others else 1.0
         try:
-            return answer_here(here_ms)
-        except (
-            errors.ConfigurationUnconfirmedError,
-            errors.StoreDownError,
-        ) as error:
-            refusal = error
-        except errors.OutcomeUnknownError as error:
-            unknown = error
-    for peer in _list_peers(relay):
+            return answer_here(int(limit_ms * share))
+        except _FAILURES as error:
+            failure = error
+    response, failure = _ask_peers(relay, request, give_up_ms, failure)
+    if response is not None:
+        return response
+    if failure is not None:
+        raise failure
+    return answer_here(limit_ms)
+
+
+def _ask_peers(
+    relay: Relay,
+    request: webserver.Request,
+    give_up_ms: int,
+    failure: errors.CyclamenshelfError | None,
+) -> tuple[webserver.Response | None, errors.CyclamenshelfError | None]:
+    """Return the first answer of a peer, or what to tell the caller.
+
+    Args:
+        relay: The other hosts.
+        request: The call.
+        give_up_ms: Monotonic time by which an answer has to be there.
+        failure: Why there is no answer from here.
+    """
+    peers = memberships.choose_peers(
+        relay.members, relay.clock.now_ms(), relay.generator
+    )
+    for peer in peers[:_MAX_PEERS]:
         left_ms = give_up_ms - relay.clock.now_ms()
         if left_ms < _LEAST_MS:
             break
         try:
             response = _send(relay, peer, request, left_ms)
         except errors.OutcomeUnknownError as error:
-            unknown = error
-            continue
-        if response is None:
+            failure = error
             continue
-        if unknown is None or response.status < 400:
-            return response
-    if unknown is not None:
-        raise unknown
-    if refusal is not None:
-        raise refusal
-    return answer_here(limit_ms)
+        # A refusal is not passed on if an earlier try may have been done.
+        unknown = isinstance(failure, errors.OutcomeUnknownError)
+        if response and (response.status < 400 or not unknown):
+            return response, failure
+    return None, failure
 
 
 def is_cut(relay: Relay) -> bool:
@@ -111,13 +130,6 @@
     return age_ms is None or age_ms > _CUT_AGE_MS
 
 
-def _list_peers(relay: Relay) -> list[memberships.Member]:
-    peers = memberships.choose_peers(
-        relay.members, relay.clock.now_ms(), relay.generator
-    )
-    return peers[:_MAX_PEERS]
-
-
 def _send(
     relay: Relay,
     peer: memberships.Member,
