--- a/testing/daemon/tasks/test_jobstates.py
+++ b/testing/daemon/tasks/test_jobstates.py
@@ -74,3 +74,22 @@
     assert jobstates.read_state(known, store, job_id) is State.COMPLETED
     cell.fake.rows.clear()
     assert jobstates.read_state(known, store, job_id) is State.COMPLETED
+
+
+def test_lost_answer_to_the_first_start_does_not_keep_the_job_queued(cell):
+    # The row is gone when the write is made again under its old version.
+    lost = []
+
+    def lose_once(transaction):
+        if transaction.deletes and not lost:
+            lost.append(transaction)
+            cell.fake.script.append("lost")
+
+    cell.fake.before_commit = lose_once
+    cell.take_over()
+    job_id = cell.submit()
+    cell.wait_for_runs(job_id, 1)
+    cell.end_all(job_id)
+    cell.wait_for_state(job_id, State.COMPLETED)
+    assert lost
+    assert count(cell) == 0
