Give a worker that was left alone time to answer once it has a task

The pause of a worker counts as allowed silence; as soon as the worker had a task its pause was nothing, so it was silent for as long as it had been left alone.

Change: the time until which a worker is left alone is kept from its answer, and ends when it is woken for a task; silence counts from there.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
@@ -35,6 +35,7 @@
         seen: Number of the last end that is safely stored.
         stored: Set whenever `seen` has moved.
         pause_ms: How long it is left alone between two renewals.
+        alone_until_ms: Monotonic time until which it is left alone now.
         wake: Set to end such a pause.
         unlisted_ms: Since when it is not in the list of workers.
         foreign: Room of runs there that the owner has no use for.
@@ -51,6 +52,7 @@
         self.seen = 0
         self.stored = threading.Event()
         self.pause_ms = 0
+        self.alone_until_ms = 0
         self.wake = threading.Event()
         self.unlisted_ms: int | None = None
         self.foreign: dict[RunKey, taskjobs.Resources] = {}
@@ -82,6 +84,14 @@
     """Take over the clock of a worker that has just answered."""
     with worker.lock:
         worker.clock_ms, worker.heard_ms = clock_ms, now_ms
+        worker.alone_until_ms = now_ms + worker.pause_ms
+
+
+def wake_worker(worker: Worker, now_ms: int) -> None:
+    """Have a worker asked now that may have been left alone."""
+    worker.pause_ms = 0
+    worker.alone_until_ms = min(worker.alone_until_ms, now_ms)
+    worker.wake.set()
 
 
 def get_lapse_ms(worker: Worker) -> int:
@@ -94,8 +104,10 @@
 
 def is_silent(worker: Worker, now_ms: int) -> bool:
     """Return whether a worker has not answered of late."""
-    limit_ms = _SILENT_MS + worker.pause_ms
-    return worker.heard_ms is None or now_ms - worker.heard_ms > limit_ms
+    if worker.heard_ms is None:
+        return True
+    asked_ms = max(worker.heard_ms, worker.alone_until_ms)
+    return now_ms - asked_ms > _SILENT_MS
 
 
 def choose_pause(workers: int, busy: bool) -> int:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
@@ -4,6 +4,7 @@
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon.tasks import advice
+from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import orders
 from cyclamenshelf_daemon.tasks import owneradvice
@@ -119,8 +120,7 @@
     keeper = taskprogress.get_keeper(entry.job, run.task)
     run.phase = ledgers.Phase.STARTING
     # It may not have been asked for a while, and its lease begins now.
-    worker.pause_ms = 0
-    worker.wake.set()
+    fleet.wake_worker(worker, now_ms)
     run.since_ms = now_ms
     orders.send_start(
         owner.orders,
