--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
@@ -56,7 +56,8 @@
 
 def _go_through_list(owner: ownerstate.Owner) -> None:
     """Bring the owner's workers in line with the list."""
-    owner.listed_ms = now_ms = owner.context.clock.now_ms()
+    now_ms = owner.context.clock.now_ms()
+    owner.listed_ms = now_ms
     for info in owner.listed.values():
         worker = owner.workers.get(info.id)
         if worker is None:
