Refuse calls of other hosts at once where the store is away too

Change: a host whose lists were not confirmed for 1.6 s refuses what others pass on without a try. Failed first: test_host_that_is_cut_off_too_refuses_a_peer_at_once.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/relay.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/relay.py
@@ -91,6 +91,20 @@
     return answer_here(limit_ms)
 
 
+def answer_peer(
+    relay: Relay, answer_here: Callable[[], webserver.Response]
+) -> webserver.Response:
+    """Answer a call that another host has passed on.
+
+    Raises:
+        errors.ConfigurationUnconfirmedError: The store is away from here too;
+            a try would only add to the calls that it gets.
+    """
+    if is_cut(relay):
+        raise errors.ConfigurationUnconfirmedError("the store is away")
+    return answer_here()
+
+
 def _ask_peers(
     relay: Relay,
     request: webserver.Request,
--- a/testing/daemon/tasks/test_relay.py
+++ b/testing/daemon/tasks/test_relay.py
@@ -171,3 +171,11 @@
     store.commit(ports.Transaction({}, {key: b"[]"}), 0)
     members.refresh(mine, store)
     assert mine.others == {"other": other}
+
+
+def test_host_that_is_cut_off_too_refuses_a_peer_at_once(made, manual_clock):
+    # With the store away from all, each call became four.
+    assert relay.answer_peer(made, lambda: HERE) is HERE
+    manual_clock.move(2_000)
+    with pytest.raises(errors.ConfigurationUnconfirmedError):
+        relay.answer_peer(made, lambda: HERE)
