--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownership.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownership.py
@@ -37,8 +37,8 @@
 _CALL_MS = 500
 _WATCH_MS = 1_100
 _RETRY_MS = 100
-# Deciding for a large fleet takes about half a processor at times. Hosts with
-# fewer processors than this leave a free lease to the others for a while.
+# Hosts with fewer processors than this leave a free lease to the others for a
+# while, as deciding for a large fleet takes much of one.
 _ENOUGH_PROCESSORS = 1.0
 _PATIENCE_MS = 700
 
