Let the lease lapse of a worker whose address another one uses

The worker crashed behind a cut and was unlisted at 13.8 s, but never forgotten: another worker answered at its address that it is not the one named, and each such renewal, sent each 150 ms, had counted as a new end of the lease before it was sent. The lease never lapsed, and its tasks were never started elsewhere.

Ruled out: a missed notice of leaving (the worker gave none); the pause of workers without tasks (24 workers have none).

Change: an end of lease that was answered by another worker is taken back. Refusals of the worker itself are left as they were. Failed first: test_tasks_of_a_worker_whose_address_is_used_again_run_elsewhere.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
@@ -80,6 +80,19 @@
         return worker.lease_until_ms
 
 
+def take_back_lease(worker: Worker, granted_ms: int, before_ms: int) -> None:
+    """Forget an end of lease that surely did not reach the worker.
+
+    Args:
+        worker: The worker.
+        granted_ms: The end that was sent.
+        before_ms: Its latest end of lease before.
+    """
+    with worker.lock:
+        if worker.lease_until_ms == granted_ms:
+            worker.lease_until_ms = before_ms
+
+
 def note_answer(worker: Worker, clock_ms: int, now_ms: int) -> None:
     """Take over the clock of a worker that has just answered."""
     with worker.lock:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/links.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/links.py
@@ -88,10 +88,11 @@
 ) -> str | None:
     """Renew once and hand on the answer; return why there was none."""
     sent_ms = 0
+    before_ms, lease = worker.lease_until_ms, None
 
     def make_renewal(new: bool) -> ports.Renewal:
-        nonlocal sent_ms
-        sent_ms = context.clock.now_ms()
+        nonlocal sent_ms, before_ms, lease
+        sent_ms, before_ms = context.clock.now_ms(), worker.lease_until_ms
         lease = fleet.grant_lease(worker, context.clock, context.lease_ms)
         # A new connection may lead to a new life of the worker, whose ends
         # must not be confirmed by the numbers of the last one.
@@ -113,6 +114,9 @@
     if isinstance(answer, ports.Refusal):
         if answer is ports.Refusal.FENCED:
             context.on_fenced(worker)
+        if answer is ports.Refusal.GONE and lease is not None:
+            # Another worker answers at its address: nothing was renewed.
+            fleet.take_back_lease(worker, lease, before_ms)
         worker.closing.wait(_PAUSE_MS / 1000)
         return answer
     context.on_look(worker, sent_ms, answer)
--- a/testing/daemon/tasks/fakefleet.py
+++ b/testing/daemon/tasks/fakefleet.py
@@ -17,6 +17,7 @@
 
     Attributes:
         silent: Whether it answers nothing, and carries out nothing.
+        replaced: Whether another worker answers at its address.
         lose_starts: How many starts are carried out without an answer.
         late: Starts that got no answer and are carried out by `deliver`.
         hold_starts: How many starts go to `late`.
@@ -36,6 +37,7 @@
             None,
         )
         self.silent = False
+        self.replaced = False
         self.lose_starts = 0
         self.hold_starts = 0
         self.late = []
@@ -128,6 +130,8 @@
             threading.Event().wait(0.02)
             raise ports.WorkerSilentError("silent")
         renewal = make_renewal(False)
+        if self.replaced:
+            return ports.Refusal.GONE
         if not renewal.wait_ms:
             threading.Event().wait(0.005)
         else:
--- a/testing/daemon/tasks/test_owner.py
+++ b/testing/daemon/tasks/test_owner.py
@@ -338,3 +338,14 @@
     cell.take_over()
     cell.wait_for_runs(job_id, 1)
     assert cell.find_worker(job_id) is cell.workers[0]
+
+
+def test_tasks_of_a_worker_whose_address_is_used_again_run_elsewhere(cell):
+    # Each refused renewal counted as a lease, so that it never lapsed.
+    cell.take_over(lease_ms=600)
+    job_id = cell.submit(builders.make_step(1, 8))
+    cell.wait_for_state(job_id, State.RUNNING)
+    worker = cell.find_worker(job_id)
+    worker.replaced = True
+    cell.unlist_worker(worker)
+    cell.wait_for_runs(job_id, 2)
