--- a/packages/daemon/src/cyclamenshelf_daemon/following.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/following.py
@@ -13,6 +13,10 @@
 
 _WORKER_LOST = "worker lost"
 _INCOMPLETE = "not whole after takeover"
+_ANSWER_LOST = "answer lost"
+_ANSWER_TOO_LARGE = "answer_too_large"
+# Stops after which the answer of a finished part cannot be stored.
+_UNSTORABLE_ANSWER_REASONS = (_ANSWER_LOST, _ANSWER_TOO_LARGE)
 _UNSUCCESSFUL_STATES = ("failed", "stopped", "lapsed", "absent")
 
 
@@ -61,7 +65,9 @@
             _advance_adopting(owner, attempt)
         elif attempt.phase is attempts.Phase.RUNNING:
             _advance_running(owner, attempt)
-        elif _has_finished_despite_stop(attempt):
+        elif attempt.phase is attempts.Phase.STOPPING and _is_answer_storable(
+            attempt, attempt.tasks
+        ):
             attempt.phase = attempts.Phase.FINISHING
         if not owner.draining.is_set():
             _submit_next_operation(owner, attempt)
@@ -235,7 +241,7 @@
         for part, state in states.items()
         if state == "failed"
     }
-    if _is_complete(attempt):
+    if _have_all_finished(attempt.job, attempt.tasks):
         attempt.phase = attempts.Phase.FINISHING
     elif attempt.job.id in owner.cancels:
         attempt.end_state = model.JobState.CANCELLED
@@ -248,22 +254,27 @@
         attempts.begin_stop(attempt, "task lost")
 
 
-def _is_complete(attempt: attempts.Attempt) -> bool:
-    return len(attempt.tasks) == len(attempt.job.placement) > 0 and all(
-        report.state == "finished" for report in attempt.tasks.values()
+def _have_all_finished(
+    job: model.Job, reports: dict[int, workerclient.TaskReport]
+) -> bool:
+    """Return whether every part of a placed job is reported as finished."""
+    return len(reports) == len(job.placement) > 0 and all(
+        report.state == "finished" for report in reports.values()
     )
 
 
-def _has_finished_despite_stop(attempt: attempts.Attempt) -> bool:
-    """Return whether all parts of a stopping attempt have finished after all.
+def _is_answer_storable(
+    attempt: attempts.Attempt, reports: dict[int, workerclient.TaskReport]
+) -> bool:
+    """Return whether a stopping attempt has finished after all.
 
-    Workers that were unresponsive may report later that their tasks had
-    finished; the answers can then still be stored.
+    Parts may finish before the stop arrives, and workers that were unresponsive
+    may report later that their tasks had finished. The answers can then still
+    be stored.
     """
     return (
-        attempt.phase is attempts.Phase.STOPPING
-        and attempt.stop_reason in (_WORKER_LOST, _INCOMPLETE)
-        and _is_complete(attempt)
+        attempt.stop_reason not in _UNSTORABLE_ANSWER_REASONS
+        and _have_all_finished(attempt.job, reports)
     )
 
 
@@ -321,7 +332,7 @@
         link = owner.links.get(placed.worker_id)
         if link is None or link.unresponsive:
             attempts.begin_stop(
-                attempt, "answer lost", frozenset({placed.worker_id})
+                attempt, _ANSWER_LOST, frozenset({placed.worker_id})
             )
             return
     if ownerstate.holds_lease(owner):
@@ -361,10 +372,10 @@
     def apply(owner: ownerstate.CellOwner) -> None:
         if refusal.reason == "answer_too_large":
             attempt.end_state = model.JobState.FAILED
-            attempts.begin_stop(attempt, "answer_too_large")
+            attempts.begin_stop(attempt, _ANSWER_TOO_LARGE)
         else:
             attempts.begin_stop(
-                attempt, "answer lost", frozenset({refusal.worker})
+                attempt, _ANSWER_LOST, frozenset({refusal.worker})
             )
 
     return apply
@@ -382,6 +393,8 @@
     no work, and the remaining parts of a gang must not continue alone.
     """
     reports = gangs.stop_gang(context, attempt.job) | _list_finished(attempt)
+    if _is_answer_storable(attempt, reports):
+        return lambda owner: _finish_stopped(attempt, reports)
     job = attempts.resolve_stopped(attempt, reports, lost)
     if job is None:
         raise errors.WorkerError(
@@ -396,6 +409,15 @@
     return lambda owner: _apply_job_row(owner, attempt, job, version)
 
 
+def _finish_stopped(
+    attempt: attempts.Attempt, reports: dict[int, workerclient.TaskReport]
+) -> None:
+    """Store the answers of an attempt that finished before its stop."""
+    for part, report in reports.items():
+        attempts.record_report(attempt, part, report)
+    attempt.phase = attempts.Phase.FINISHING
+
+
 def _list_finished(
     attempt: attempts.Attempt,
 ) -> dict[int, workerclient.TaskReport]:
--- a/testing/daemon/test_ends.py
+++ b/testing/daemon/test_ends.py
@@ -285,6 +285,34 @@
     check_no_leftovers(host, platform)
 
 
+def test_part_that_finishes_before_the_stop_of_its_cancellation(
+    platform, host, monkeypatch
+):
+    # Guards against a lost answer: the part finishes after the owner's last
+    # report and before the stop, and the job was recorded as cancelled.
+    stop_gang = gangs.stop_gang
+    worker = platform.workers["w0"]
+
+    def finish_before_stop(context, job, *mode):
+        with worker.lock:
+            for task in worker.tasks.values():
+                task.run_until_ms = 0
+        cells.wait_until(
+            lambda: {t.state for t in worker.tasks.values()} == {"finished"},
+            "the task has finished",
+        )
+        return stop_gang(context, job, *mode)
+
+    monkeypatch.setattr(gangs, "stop_gang", finish_before_stop)
+    job_id = cells.submit(host, "k", cells.make_body(1, run_ms=20_000))
+    wait_until_running(platform, job_id)
+    cancel(host, platform, job_id)
+    job = cells.wait_for_state(platform, job_id, "cancelled", "succeeded")
+    assert (job.state, job.run) == ("succeeded", "ran")
+    assert len(job.manifest) == 1
+    check_no_leftovers(host, platform)
+
+
 def test_cancelled_job_that_ran_before_is_recorded_as_run(platform, host):
     # Guards against losing whether a job ran: each attempt overwrote the result
     # of the earlier ones.
