--- a/packages/core/src/cyclamenshelf_core/policy.py
+++ b/packages/core/src/cyclamenshelf_core/policy.py
@@ -200,7 +200,7 @@
     queues = ordering.group_jobs(
         snapshot.queued, snapshot.run_time_ratios, snapshot.now_ms
     )
-    _fulfil_claims(state)
+    _fulfil_claims(state, queues[model.Urgency.URGENT])
     _schedule_guaranteed(state, queues)
     for urgency in model.Urgency:
         _apply_reservations(state, urgency)
@@ -280,8 +280,15 @@
     )
 
 
-def _fulfil_claims(state: _DecisionState) -> None:
-    """Start jobs on the workers that they claim, or renew their claims."""
+def _fulfil_claims(
+    state: _DecisionState, urgent: dict[str, list[model.Job]]
+) -> None:
+    """Start jobs on the workers that they claim, or renew their claims.
+
+    Args:
+        state: State of the decision.
+        urgent: Urgent queued jobs by account.
+    """
     queued = {job.id: job for job in state.snapshot.queued}
     for job_id, claim in state.snapshot.claims.items():
         job = queued.get(job_id)
@@ -290,10 +297,49 @@
         if claim.kind == "hold":
             state.reservations[job_id] = claim
             continue
+        if claim.kind == "reclaim":
+            _schedule_urgent_before(
+                state, job, claim.placement, urgent.get(job.account, [])
+            )
         if _get_plan_block_reason(state, job) is None:
             _fulfil_claim(state, job, claim)
 
 
+def _schedule_urgent_before(
+    state: _DecisionState,
+    job: model.Job,
+    placement: model.Placement,
+    urgent: list[model.Job],
+) -> None:
+    """Schedule urgent jobs that fit in the guarantee only before a claim.
+
+    Urgent jobs preempt background jobs of their account. If the claim of such
+    a job were fulfilled first, the next decision would preempt what this one
+    starts.
+    """
+    if job.spec.urgency is not model.Urgency.BACKGROUND:
+        return
+    for urgent_job in urgent:
+        if (
+            urgent_job.id in state.decided
+            or urgent_job.id in state.snapshot.claims
+            or _get_plan_block_reason(state, urgent_job) is not None
+        ):
+            continue
+        now_ms = state.snapshot.now_ms
+        ledgers.claim(state.ledger, job, placement)
+        after_claim = preemption.plan_reclaim(state.ledger, urgent_job, now_ms)
+        ledgers.claim(state.ledger, job, placement, -1)
+        if after_claim is not None:
+            continue
+        found = preemption.plan_reclaim(state.ledger, urgent_job, now_ms)
+        if found is not None:
+            _apply_plan(state, urgent_job, found, "reclaim")
+            ordering.charge_usage(
+                state.usage, urgent_job, _estimate_run_ms(state, urgent_job)
+            )
+
+
 def _fulfil_claim(state: _DecisionState, job: model.Job, claim: Claim) -> bool:
     """Start a job on the claimed workers, preempting others if necessary.
 
--- a/testing/core/test_policy_histories.py
+++ b/testing/core/test_policy_histories.py
@@ -344,6 +344,26 @@
             assert sum(need.values()) <= _WORKERS[worker_id].accelerators
 
 
+def test_urgent_job_arrives_before_the_claim_of_its_account_is_fulfilled():
+    # Guards against a start that the next decision preempts: the claim of a
+    # background job was fulfilled before the urgent job of the same account was
+    # considered.
+    history = Histories()
+    history.flood("a", 2, "normal", True, 1)
+    history.flood("b", 4, "background", True, 1)
+    history.requeue("j0038")
+    spec = builders.make_job("", "b", urgency="urgent").spec
+    shape = model.Shape(1, 2, model.Within.DATA_CENTRE)
+    job_id = history.add_job(
+        "b", spec._replace(shape=shape, expected_run_ms=562_000)
+    )
+    history.requeue("j0039")
+    history.decide()
+    history.finish_stops()
+    history.decide()
+    assert job_id in history.running
+
+
 # A history takes about 0.1 s, so this limits the long profile to some minutes.
 Histories.TestCase.settings = hypothesis.settings(
     hypothesis.settings(),
