--- a/benchmarks/burst.py
+++ b/benchmarks/burst.py
@@ -132,9 +132,14 @@
 
 
 def sample_rates(table, stopped: threading.Event, rates: list) -> None:
-    """Append the table's writes, rows written and reads of each second."""
+    """Append the table's writes, rows written and reads of each second.
+
+    The last sample may cover less than a second.
+    """
     previous = (table.transactions, table.rows_written, table.reads)
-    while not stopped.wait(1.0):
+    running = True
+    while running:
+        running = not stopped.wait(1.0)
         current = (table.transactions, table.rows_written, table.reads)
         rates.append(
             tuple(b - a for a, b in zip(previous, current, strict=True))
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -2,10 +2,11 @@
 
 Run as a module: python -m benchmarks.placement
 
-Usage: placement [--seed=N]
+Usage: placement [--seed=N] [--sizes=LIST]
 
 Options:
-  --seed=N  Seed of fleet and jobs [default: 1].
+  --seed=N      Seed of fleet and jobs [default: 1].
+  --sizes=LIST  Numbers of workers, with commas [default: 70,138,275,550,1100].
 
 `burst` decides on 2,000 waiting jobs in one call, fewer on smaller fleets in
 proportion; `single` on one job a call, as when jobs arrive alone. Each fleet
@@ -24,7 +25,6 @@
 from cyclamenshelf_core import policy
 
 _NOW_MS = 100_000_000
-_FLEET_SIZES = (70, 138, 275, 550, 1100)
 _TARGET_TASKS = 24_000
 _TARGET_WORKERS = 1100
 _ACCELERATORS = 32
@@ -110,7 +110,8 @@
     seed = int(arguments["--seed"])
     points = []
     print("workers tasks burst/s started empty_ms single_ms us_per_decision")
-    for size in _FLEET_SIZES:
+    sizes = [int(text) for text in arguments["--sizes"].split(",")]
+    for size in sizes:
         snapshot = make_snapshot(size, seed)
         tasks = sum(len(r.placement) for r in snapshot.running.values())
         burst_jobs = _BURST_JOBS * size // _TARGET_WORKERS
@@ -138,6 +139,8 @@
             f"{single_s * 1000:.1f}",
             f"{per_decision_us:.0f}",
         )
+    if len(sizes) == 1:
+        return
     print(f"slope burst={_fit_slope(points, 1):.2f}", end=" ")
     print(f"single={_fit_slope(points, 2):.2f} (log-log, 1 is linear)")
 
--- a/benchmarks/short_requests.py
+++ b/benchmarks/short_requests.py
@@ -21,6 +21,7 @@
 
 import hashlib
 import json
+import math
 import multiprocessing
 import os
 import pathlib
@@ -38,7 +39,6 @@
 import urllib3
 import yaml
 
-from cyclamenshelf_daemon import settings as settings_files
 from cyclamenshelf_standin import backendservice
 from cyclamenshelf_standin import platform as platforms
 
@@ -80,8 +80,10 @@
     states = [
         backendservice.Backend(f"b{index}", slots) for index in range(backends)
     ]
+    servers = []
     for state in states:
         server = backendservice.start_backend(state, threads=4 * slots)
+        servers.append(server)
         platform.hosts.hosts[state.id] = {
             "id": state.id,
             "kind": "backend",
@@ -94,6 +96,9 @@
         (platform.table_url, platform.objects_url, platform.hosts_url)
     )
     stopping.wait()
+    for server in servers:
+        server.stop()
+    platforms.stop_platform(platform)
     connection.send(sum(len(state.records) for state in states))
 
 
@@ -102,19 +107,21 @@
     with socket.create_server(("127.0.0.1", 0)) as listener:
         port = listener.getsockname()[1]
     key = pathlib.Path(directory, "key")
-    key.write_text("benchmark", encoding="utf-8")
-    values = dict.fromkeys(settings_files.Settings._fields, 0) | {
+    key.write_text("key of the benchmark", encoding="utf-8")
+    values = {
         "host_id": "e0",
         "data_centre": "dc0",
         "cell": "c0",
         "listen_host": "127.0.0.1",
         "caller_port": port,
+        "operator_port": 0,
+        "peer_port": 0,
         "caller_threads": threads,
         "table_url": urls[0],
         "objects_url": urls[1],
         "hosts_url": urls[2],
         "peer_key_file": str(key),
-        "operator_token_sha256": "",
+        "operator_token_sha256": platforms.DEMO_OPERATOR_SHA256,
     }
     settings_path = pathlib.Path(directory, "settings.yaml")
     settings_path.write_text(yaml.safe_dump(values), encoding="utf-8")
@@ -219,12 +226,22 @@
     return totals
 
 
+def get_answered_share(statuses, arrivals):
+    """Return the share of the requests that were answered."""
+    return divide(statuses.get("answered", 0), arrivals)
+
+
+def divide(value, base):
+    """Return the ratio; not a number if the base is 0."""
+    return value / base if base else math.nan
+
+
 def report(part, totals, seconds):
     """Print throughput and latency, one line per account."""
     for account, (arrivals, histogram, statuses) in totals.items():
         print(
             f"{part:7} {account:7} sent {arrivals / seconds:7.1f}/s "
-            f"answered {statuses.get('answered', 0) / arrivals:7.2%} "
+            f"answered {get_answered_share(statuses, arrivals):7.2%} "
             f"p50 {histogram.get_value_at_percentile(50) / 1000:7.1f} ms "
             f"p99 {histogram.get_value_at_percentile(99) / 1000:7.1f} ms "
             f"{statuses}"
@@ -235,7 +252,7 @@
     """Print flooded-to-calm ratios of the small accounts' results."""
     for account in ACCOUNTS[1:]:
         answered = [
-            totals[account][2].get("answered", 0) / totals[account][0]
+            get_answered_share(totals[account][2], totals[account][0])
             for totals in (calm, flooded)
         ]
         p99 = [
@@ -243,8 +260,8 @@
             for totals in (calm, flooded)
         ]
         print(
-            f"ratio   {account:7} throughput {answered[1] / answered[0]:.3f} "
-            f"p99 {p99[1] / p99[0]:.2f}"
+            f"ratio   {account:7} throughput {divide(*answered[::-1]):.3f} "
+            f"p99 {divide(*p99[::-1]):.2f}"
         )
 
 
@@ -265,30 +282,38 @@
     urls = connection.recv()
     calm_rates = dict.fromkeys(ACCOUNTS, capacity * _CALM_LOAD / len(ACCOUNTS))
     flood_rates = {"bulk": capacity * int(arguments["--factor"])}
-    with tempfile.TemporaryDirectory() as directory:
-        daemon, port = start_daemon(
-            urls,
-            directory,
-            int(arguments["--threads"]),
-            arguments["--checkout"],
-        )
-        time.sleep(_WARM_UP_S)
-        run_part(port, calm_rates, _WARM_UP_S, run_ms, seed)
-        calm = run_part(port, calm_rates, seconds, run_ms, seed)
-        report("calm", calm, seconds)
-        flooded = run_part(
-            port, calm_rates | flood_rates, seconds, run_ms, seed
-        )
-        report("flooded", flooded, seconds)
-        stat = pathlib.Path(f"/proc/{daemon.pid}/stat").read_text().split()
-        ticks = os.sysconf("SC_CLK_TCK")
-        print(f"daemon cpu {(int(stat[13]) + int(stat[14])) / ticks:.1f} s")
-        daemon.send_signal(signal.SIGTERM)
-        daemon.wait()
-    report_ratios(calm, flooded)
-    stopping.set()
-    print(f"requests run by the stand-ins {connection.recv()}")
-    standins.join()
+    try:
+        with tempfile.TemporaryDirectory() as directory:
+            daemon, port = start_daemon(
+                urls,
+                directory,
+                int(arguments["--threads"]),
+                arguments["--checkout"],
+            )
+            try:
+                time.sleep(_WARM_UP_S)
+                run_part(port, calm_rates, _WARM_UP_S, run_ms, seed)
+                calm = run_part(port, calm_rates, seconds, run_ms, seed)
+                report("calm", calm, seconds)
+                flooded = run_part(
+                    port, calm_rates | flood_rates, seconds, run_ms, seed
+                )
+                report("flooded", flooded, seconds)
+                print(f"daemon cpu {read_cpu_s(daemon.pid):.1f} s")
+            finally:
+                daemon.send_signal(signal.SIGTERM)
+                daemon.wait()
+        report_ratios(calm, flooded)
+    finally:
+        stopping.set()
+        print(f"requests run by the stand-ins {connection.recv()}")
+        standins.join()
+
+
+def read_cpu_s(pid):
+    """Return the processor time that a process has used."""
+    stat = pathlib.Path(f"/proc/{pid}/stat").read_text().split()
+    return (int(stat[13]) + int(stat[14])) / os.sysconf("SC_CLK_TCK")
 
 
 if __name__ == "__main__":
--- a/benchmarks/task_decisions.py
+++ b/benchmarks/task_decisions.py
@@ -2,11 +2,12 @@
 
 Run as a module: python -m benchmarks.task_decisions
 
-Usage: task_decisions [--seed=N] [--repeats=N]
+Usage: task_decisions [--seed=N] [--repeats=N] [--sizes=LIST]
 
 Options:
-  --seed=N     Seed of fleet and jobs [default: 1].
-  --repeats=N  Decisions measured at each size [default: 20].
+  --seed=N      Seed of fleet and jobs [default: 1].
+  --repeats=N   Decisions measured at each size [default: 20].
+  --sizes=LIST  Numbers of workers [default: 24,69,138,275,550,1100].
 
 Each fleet is full of tasks of the last priority, 22 on a worker, and jobs of
 all three priorities wait, one for every eight workers. `decide` is one whole
@@ -28,7 +29,6 @@
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import reports
 
-_SIZES = (24, 69, 138, 275, 550, 1100)
 _WORKERS_PER_RACK = 20
 _CAPACITY = taskjobs.Resources(64_000, 256_000, 24)
 _TASKS_PER_WORKER = 22
@@ -160,7 +160,7 @@
     arguments = docopt.docopt(__doc__)
     seed, repeats = int(arguments["--seed"]), int(arguments["--repeats"])
     print(f"seed={seed}")
-    for workers in _SIZES:
+    for workers in map(int, arguments["--sizes"].split(",")):
         ledger, members = make_ledger(workers, random.Random(seed))
         started_s = time.process_time()
         for _ in range(repeats):
