--- a/testing/benchmarks/test_commands.py
+++ b/testing/benchmarks/test_commands.py
@@ -22,6 +22,7 @@
         "replay benchmarks/traces/shelfline.jsonl --policy=firstfit",
         "short_requests --seconds=1 --run-ms=20 --factor=2 --backends=1",
         "task_decisions --repeats=1 --sizes=24",
+        "taskreplay --seeds=1 --load=small-overload",
     ],
 )
 def test_benchmark_runs(command):
