--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -13,6 +13,7 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskspace
 from cyclamenshelf_core import taskvictims
+from cyclamenshelf_core import victimsearch
 
 # On each rack, this many workers with the most free accelerators are reserved:
 # tasks of priority 2 and lower priorities cannot use them. Urgent groups can
@@ -372,7 +373,7 @@
             worker_id, soon_free, step.need, preemptor
         )
 
-    placed = taskspace.find_workers(
+    slots = taskspace.list_slots(
         state.capacity,
         entry.job,
         entry.group.step,
@@ -382,18 +383,24 @@
         get_cost,
         entry.allowed_workers,
     )
-    if step.gang and len(placed) < len(entry.indexes):
+    if step.gang and sum(slots.values()) < len(entry.indexes):
         return
-    for worker_id in dict.fromkeys(placed):
-        stops = taskvictims.choose_cheapest(
-            state.victims,
-            worker_id,
-            state.get_soon_free(worker_id),
-            step.need,
-            placed.count(worker_id),
-            preemptor,
-        )
-        state.stops += [Stop(held.task, entry.group) for held in stops]
+    stops = victimsearch.choose_victims(
+        state.victims,
+        victimsearch.Request(
+            step.need, len(entry.indexes), preemptor, step.data_rack
+        ),
+        {
+            name: victimsearch.Candidate(
+                slots[name],
+                state.get_soon_free(name),
+                state.capacity.workers[name].rack,
+                state.capacity.workers[name].suspect,
+            )
+            for name in slots
+        },
+    )
+    state.stops += [Stop(held.task, entry.group) for held in stops]
 
 
 def _preempt_best_effort(state: _PlanningState, entry: WaitingGroup) -> None:
--- a/packages/core/src/cyclamenshelf_core/taskspace.py
+++ b/packages/core/src/cyclamenshelf_core/taskspace.py
@@ -129,7 +129,6 @@
     tasks: int,
     get_available: Callable[[str], taskjobs.Resources],
     allow_remote: bool,
-    get_cost: Callable[[str], float] = lambda worker_id: 0,
     allowed_workers: frozenset[str] | None = None,
 ) -> list[str]:
     """Return a worker for each task of a step that can be placed.
@@ -147,42 +146,33 @@
         get_available: Returns the resources to assume available on a worker.
         allow_remote: Whether tasks may run off the rack of their data, and a
             gang on several racks, where they are slow.
-        get_cost: Returns the cost of a task on a worker; the cheapest worker
-            comes first.
         allowed_workers: Workers that may run the step; None for any.
     """
     step = job.steps[step_number]
-    required_rack = "" if allow_remote else step.data_rack
-    slots, available_by_worker = _count_slots(
+    slots = list_slots(
         capacity,
         job,
         step_number,
+        tasks,
         get_available,
-        required_rack,
-        allowed_workers,
+        allow_remote,
+        allowed_workers=allowed_workers,
     )
-    if step.gang and step.same_rack:
-        rack_slots = _choose_rack(
-            capacity, slots, tasks, step.data_rack, get_cost
-        )
-        if rack_slots is not None:
-            slots = rack_slots
-        elif not allow_remote:
-            return []
     if step.gang and sum(slots.values()) < tasks:
         return []
-    ordered = sorted(
-        slots,
-        key=lambda worker_id: (
-            bool(step.data_rack)
-            and step.data_rack != capacity.workers[worker_id].rack,
-            capacity.workers[worker_id].suspect,
-            get_cost(worker_id),
-            available_by_worker[worker_id].accelerators,
-            available_by_worker[worker_id].cpu_millis,
+
+    def get_key(worker_id: str) -> tuple:
+        available = get_available(worker_id)
+        worker = capacity.workers[worker_id]
+        return (
+            bool(step.data_rack) and step.data_rack != worker.rack,
+            worker.suspect,
+            available.accelerators,
+            available.cpu_millis,
             worker_id,
-        ),
-    )
+        )
+
+    ordered = sorted(slots, key=get_key)
     placed: list[str] = []
     for worker_id in ordered:
         placed += [worker_id] * min(slots[worker_id], tasks - len(placed))
@@ -191,6 +181,54 @@
     return placed
 
 
+def list_slots(
+    capacity: FreeCapacity,
+    job: taskjobs.TaskJob,
+    step_number: int,
+    tasks: int,
+    get_available: Callable[[str], taskjobs.Resources],
+    allow_remote: bool,
+    get_cost: Callable[[str], float] = lambda worker_id: 0,
+    allowed_workers: frozenset[str] | None = None,
+) -> dict[str, int]:
+    """Return how many tasks of a step fit on each worker that may run it.
+
+    A gang that is slow on several racks gets the slots of a single rack, if
+    one can hold it.
+
+    Args:
+        capacity: Free capacity of the workers; not changed.
+        job: The job.
+        step_number: Number of its step.
+        tasks: Number of tasks to place.
+        get_available: Returns the resources to assume available on a worker.
+        allow_remote: Whether tasks may run off the rack of their data, and a
+            gang on several racks, where they are slow.
+        get_cost: Returns the cost of a task on a worker; the rack where the
+            tasks cost least is chosen.
+        allowed_workers: Workers that may run the step; None for any.
+    """
+    step = job.steps[step_number]
+    required_rack = "" if allow_remote else step.data_rack
+    slots = _count_slots(
+        capacity,
+        job,
+        step_number,
+        get_available,
+        required_rack,
+        allowed_workers,
+    )
+    if step.gang and step.same_rack:
+        rack_slots = _choose_rack(
+            capacity, slots, tasks, step.data_rack, get_cost
+        )
+        if rack_slots is not None:
+            return rack_slots
+        if not allow_remote:
+            return {}
+    return slots
+
+
 def _count_slots(
     capacity: FreeCapacity,
     job: taskjobs.TaskJob,
@@ -198,10 +236,8 @@
     get_available: Callable[[str], taskjobs.Resources],
     required_rack: str,
     allowed_workers: frozenset[str] | None,
-) -> tuple[dict[str, int], dict[str, taskjobs.Resources]]:
-    """Return the number of tasks that fit, and the available resources.
-
-    Both are by worker and only for workers on which a task fits.
+) -> dict[str, int]:
+    """Return the number of tasks that fit, by worker on which any fits.
 
     Args:
         capacity: Free capacity of the workers.
@@ -213,7 +249,6 @@
     """
     step = job.steps[step_number]
     slots: dict[str, int] = {}
-    available_by_worker: dict[str, taskjobs.Resources] = {}
     for worker in list_eligible(capacity, job, step):
         if required_rack and worker.rack != required_rack:
             continue
@@ -228,8 +263,7 @@
             count = min(count, max(0, step.max_per_worker - held))
         if count > 0:
             slots[worker.id] = count
-            available_by_worker[worker.id] = available
-    return slots, available_by_worker
+    return slots
 
 
 def _choose_rack(
