--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -221,12 +221,19 @@
 def _is_remote_preferable(state: _PlanningState, entry: WaitingGroup) -> bool:
     """Return whether slow placement is preferable to waiting.
 
-    This holds if the group already misses its objective, or if no eligible
-    worker is on the rack of its data.
+    This holds if the group already misses its objective, if no rack could hold
+    the gang even when empty, or if no eligible worker is on the rack of its
+    data.
     """
     step = entry.job.steps[entry.group.step]
     if entry.slack_ms < 0:
         return True
+    if step.gang and step.same_rack:
+        slots = taskspace.count_slots_of_largest_rack(
+            state.capacity, entry.job, step
+        )
+        if slots < len(entry.indexes):
+            return True
     if not step.data_rack:
         return False
     return not any(
--- a/packages/core/src/cyclamenshelf_core/taskspace.py
+++ b/packages/core/src/cyclamenshelf_core/taskspace.py
@@ -14,6 +14,7 @@
         rack: Rack of the worker; tasks run fast on the rack of their data.
         labels: Labels that a step may require.
         free: Resources that are not allocated to any task.
+        total: Resources of the worker when it is empty.
         suspect: Whether its latest tasks failed; others are preferred.
     """
 
@@ -22,6 +23,7 @@
     labels: frozenset[str]
     service: str
     free: taskjobs.Resources
+    total: taskjobs.Resources
     suspect: bool = False
 
 
@@ -34,6 +36,7 @@
         counts: Number of tasks by job, step and worker, for steps that
             limit the tasks on a worker.
         eligible: Cache of the eligible workers by service and label.
+        rack_slots: Cache of `count_slots_of_largest_rack`.
         best_effort_workers: Workers that run best-effort tasks.
         latency_sensitive_workers: Workers that run latency-sensitive tasks.
     """
@@ -47,6 +50,7 @@
         self.free = {worker.id: worker.free for worker in workers.values()}
         self.counts = dict(counts)
         self.eligible: dict[tuple[str, str], list[CandidateWorker]] = {}
+        self.rack_slots: dict[tuple, int] = {}
         self.best_effort_workers: set[str] = set()
         self.latency_sensitive_workers: set[str] = set()
 
@@ -81,6 +85,22 @@
     )
 
 
+def count_slots_of_largest_rack(
+    capacity: FreeCapacity, job: taskjobs.TaskJob, step: taskjobs.Step
+) -> int:
+    """Return how many tasks of a step fit on the best rack when it is empty."""
+    key = (job.service, step.label, step.need, step.max_per_worker)
+    largest = capacity.rack_slots.get(key)
+    if largest is None:
+        slots: dict[str, int] = {}
+        for worker in list_eligible(capacity, job, step):
+            count = taskjobs.count_fitting(worker.total, step.need)
+            count = min(count, step.max_per_worker or count)
+            slots[worker.rack] = slots.get(worker.rack, 0) + count
+        largest = capacity.rack_slots[key] = max(slots.values(), default=0)
+    return largest
+
+
 def would_interfere(
     capacity: FreeCapacity, worker_id: str, step: taskjobs.Step
 ) -> bool:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
@@ -183,5 +183,6 @@
         info.labels,
         info.service,
         free,
+        info.capacity,
         suspect=bool(worker.failed_jobs),
     )
--- a/testing/core/taskbuilders.py
+++ b/testing/core/taskbuilders.py
@@ -44,6 +44,7 @@
                 frozenset({"a", f"r{rack}"}),
                 "service",
                 free.get(worker_id, CAPACITY),
+                CAPACITY,
             )
     return workers_by_id
 
--- a/testing/core/test_taskplan.py
+++ b/testing/core/test_taskplan.py
@@ -311,3 +311,21 @@
     assert [stop.task for stop in result.stops] == [held[0].task]
     held[0] = held[0]._replace(stopping=True)
     assert not plan([serving], workers, held).stops
+
+
+def test_gang_wider_than_any_rack_starts_on_several_racks():
+    # Waiting for a rack that could never hold it only made the gang late.
+    step = builders.make_step(3, 8, gang=True, same_rack=True)
+    waiting = builders.make_waiting_group(builders.make_job("j", step))
+    result = plan([waiting], builders.make_workers(2, 2))
+    assert len(result.starts[0].placements) == 3
+
+
+def test_gang_that_a_rack_could_hold_waits_for_one():
+    # On two racks it would be slow, and its objective can still be met.
+    step = builders.make_step(2, 8, gang=True, same_rack=True)
+    waiting = builders.make_waiting_group(builders.make_job("j", step))
+    workers = builders.make_workers(
+        2, 2, w00=taskjobs.NO_RESOURCES, w10=taskjobs.NO_RESOURCES
+    )
+    assert not plan([waiting], workers).starts
