--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -2,9 +2,9 @@
 
 Groups are scheduled by priority. Within a priority, groups that a guarantee
 covers come first, then those with the least slack until they would miss their
-objective; other groups that can no longer meet it come last. A group of
-priority 0, or a gang that is close to its deadline, may preempt tasks of lower
-priority. Capacity that is being freed for a group is reserved for it.
+objective; other groups that can no longer meet it come last. Only a group of
+priority 0 may preempt tasks of lower priority. Capacity that is being freed
+for a group is reserved for it, and a few other gangs reserve capacity too.
 """
 
 from collections.abc import Callable
@@ -23,8 +23,6 @@
 _FIRST_EXCLUDED_PRIORITY = 2
 # How many blocked gangs below priority 0 get capacity reserved per decision.
 _MAX_GANG_RESERVATIONS = 3
-# A gang below priority 0 preempts other tasks when its slack is less than this.
-_PREEMPTION_SLACK_MS = 6_000
 
 
 class WaitingGroup(NamedTuple):
@@ -208,14 +206,9 @@
         _preempt_and_reserve(state, remaining, allow_remote)
     elif step.gang and state.gang_reservations < _MAX_GANG_RESERVATIONS:
         state.gang_reservations += 1
-        if entry.slack_ms < _PREEMPTION_SLACK_MS and entry.slack_ms >= 0:
-            _preempt_and_reserve(state, remaining, allow_remote)
-        else:
-            _reserve(
-                state,
-                remaining,
-                _find_soon_free(state, remaining, allow_remote),
-            )
+        _reserve(
+            state, remaining, _find_soon_free(state, remaining, allow_remote)
+        )
 
 
 def _is_remote_preferable(state: _PlanningState, entry: WaitingGroup) -> bool:
--- a/testing/core/test_taskplan.py
+++ b/testing/core/test_taskplan.py
@@ -179,6 +179,21 @@
     assert len(result.stops) == stops
 
 
+@pytest.mark.parametrize("slack_ms", [10_000, 1_000, 0])
+def test_gang_of_priority_1_stops_no_task(slack_ms):
+    # Stopping many small tasks for a gang that is nearly late lost more of
+    # their work than the gang was worth.
+    gang = builders.make_job("g", builders.make_step(2, 8, gang=True))
+    low = builders.make_job("low", builders.make_step(1, 8), priority=2)
+    workers = builders.make_workers(1, 2, w00=taskjobs.NO_RESOURCES)
+    result = plan(
+        [builders.make_waiting_group(gang, slack_ms=slack_ms)],
+        workers,
+        [builders.make_allocation(low, "w00")],
+    )
+    assert not result.stops
+
+
 _steps = st.builds(
     builders.make_step,
     tasks=st.integers(1, 6),
