--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -396,6 +396,7 @@
                 state.get_soon_free(name),
                 state.capacity.workers[name].rack,
                 state.capacity.workers[name].suspect,
+                state.capacity.workers[name].slow,
             )
             for name in slots
         },
--- a/packages/core/src/cyclamenshelf_core/taskspace.py
+++ b/packages/core/src/cyclamenshelf_core/taskspace.py
@@ -16,6 +16,7 @@
         free: Resources that are not allocated to any task.
         total: Resources of the worker when it is empty.
         suspect: Whether its latest tasks failed; others are preferred.
+        slow: Whether tasks take longer on it than on others.
     """
 
     id: str
@@ -25,6 +26,7 @@
     free: taskjobs.Resources
     total: taskjobs.Resources
     suspect: bool = False
+    slow: bool = False
 
 
 class FreeCapacity:
@@ -154,9 +156,10 @@
     """Return a worker for each task of a step that can be placed.
 
     A gang is placed as a whole or not at all. Workers on the rack of the data
-    come first; others are used only if `allow_remote`. Among equal workers
-    the one with the least available capacity comes first, so that whole
-    workers stay free for large tasks.
+    come first; others are used only if `allow_remote`. Priority 0 prefers
+    workers that are not slow, and other priorities leave these to it. Among
+    equal workers the one with the least available capacity comes first, so
+    that whole workers stay free for large tasks.
 
     Args:
         capacity: Free capacity of the workers; not changed.
@@ -187,6 +190,7 @@
         return (
             bool(step.data_rack) and step.data_rack != worker.rack,
             worker.suspect,
+            worker.slow is (job.priority == 0),
             available.accelerators,
             available.cpu_millis,
             worker_id,
--- a/packages/core/src/cyclamenshelf_core/victimsearch.py
+++ b/packages/core/src/cyclamenshelf_core/victimsearch.py
@@ -12,6 +12,9 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskvictims
 
+# How much more stops may cost on other workers before a slow one is used.
+_SLOW_COST_FACTOR = 2
+
 
 class Candidate(NamedTuple):
     """A worker on which tasks of the group fit once others are stopped.
@@ -20,12 +23,14 @@
         slots: Number of tasks that fit.
         soon_free: Resources that are free or being released.
         suspect: Whether its latest tasks failed.
+        slow: Whether tasks take longer on it than on others.
     """
 
     slots: int
     soon_free: taskjobs.Resources
     rack: str
     suspect: bool
+    slow: bool
 
 
 class Request(NamedTuple):
@@ -111,6 +116,8 @@
     cost = search.victims.get_cost(
         name, search.available[name], request.need, request.preemptor
     )
+    if candidate.slow:
+        cost *= _SLOW_COST_FACTOR
     remote = bool(request.data_rack) and candidate.rack != request.data_rack
     return (
         (
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
@@ -170,9 +170,15 @@
 
 
 def get_free_capacity(
-    worker: Worker, held: taskjobs.Resources
+    worker: Worker, held: taskjobs.Resources, slow: bool
 ) -> taskspace.CandidateWorker:
-    """Return the capacity of a worker that is not allocated to tasks."""
+    """Return the capacity of a worker that is not allocated to tasks.
+
+    Args:
+        worker: The worker.
+        held: Resources that are allocated to runs on it.
+        slow: Whether tasks take longer on it than on others.
+    """
     info = worker.info
     free = taskjobs.subtract(info.capacity, held)
     for need in worker.orphans.values():
@@ -185,4 +191,5 @@
         free,
         info.capacity,
         suspect=bool(worker.failed_jobs),
+        slow=slow,
     )
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -5,6 +5,7 @@
 
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
+from cyclamenshelf_core import workerspeeds
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ports
@@ -90,6 +91,7 @@
         by_group: Runs by group; `by_job` and `by_worker` index the same runs.
         run_count: Run numbers allocated so far.
         stops: Runs for which a stop has to be sent.
+        speeds: Estimates of the workers' speeds.
     """
 
     def __init__(self, epoch: int) -> None:
@@ -101,6 +103,7 @@
         self.by_worker: dict[str, dict[taskjobs.Task, Run]] = {}
         self.run_count = 0
         self.stops: list[Run] = []
+        self.speeds = workerspeeds.SpeedEstimates()
 
 
 def allocate_run_number(ledger: Ledger) -> int:
@@ -241,6 +244,7 @@
     entry.progress.ended_ms = wall_ms
     entry.progress.checkpoints.clear()
     entry.dirty = True
+    workerspeeds.forget_job(ledger.speeds, entry.job.id)
     logs.log_event(
         "job_ended",
         job=entry.job.id,
@@ -270,7 +274,9 @@
         run.number == end.run and run.worker_id == worker.info.id
     ):
         remove_run(ledger, run)
-        if end.kind is not ports.EndKind.DONE:
+        if end.kind is ports.EndKind.DONE:
+            _record_run_time(ledger, entry, run, now_ms)
+        else:
             stop_other_members(ledger, run, f"member_{end.kind}")
     logs.log_event(
         "task_ended",
@@ -284,6 +290,26 @@
         _apply_to_job(ledger, worker, entry, task, end, now_ms, wall_ms)
 
 
+def _record_run_time(
+    ledger: Ledger, entry: JobEntry, run: Run, now_ms: int
+) -> None:
+    """Record the run time of a task that is comparable with its group's.
+
+    A member of a gang waits for the slowest one, a task off the rack of its
+    data is slow anywhere, and a resumed task did only part of its work.
+    """
+    step = entry.job.steps[run.task.group.step]
+    if step.gang or step.data_rack or step.long_running:
+        return
+    if entry.progress.state in taskprogress.ENDED:
+        return
+    if run.task in entry.progress.checkpoints:
+        return
+    workerspeeds.record_run(
+        ledger.speeds, run.task.group, run.worker_id, now_ms - run.since_ms
+    )
+
+
 def _apply_to_job(
     ledger: Ledger,
     worker: fleet.Worker,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -8,6 +8,7 @@
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_core import taskspace
 from cyclamenshelf_core import taskvictims
+from cyclamenshelf_core import workerspeeds
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import queues
@@ -105,7 +106,9 @@
         )
     return {
         worker.info.id: fleet.get_free_capacity(
-            worker, used.get(worker.info.id, taskjobs.NO_RESOURCES)
+            worker,
+            used.get(worker.info.id, taskjobs.NO_RESOURCES),
+            workerspeeds.is_slow(ledger.speeds, worker.info.id),
         )
         for worker in workers
         if fleet.may_start(worker, now_ms)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
@@ -4,6 +4,7 @@
 
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
+from cyclamenshelf_core import workerspeeds
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
@@ -68,6 +69,7 @@
     worker.applied_number = worker.stored_number = 0
     worker.lease_until_ms = 0
     worker.orphans.clear()
+    workerspeeds.forget_worker(ledger.speeds, worker.info.id)
     for run in ledgers.list_worker_runs(ledger, worker.info.id):
         if run.phase is ledgers.Phase.PLANNED:
             ledgers.remove_run(ledger, run)
--- a/testing/core/test_taskplan.py
+++ b/testing/core/test_taskplan.py
@@ -194,6 +194,37 @@
     assert not result.stops
 
 
+@pytest.mark.parametrize(("priority", "expected"), [(0, "w00"), (1, "w01")])
+def test_urgent_tasks_get_fast_workers_and_others_slow_ones(priority, expected):
+    # An urgent task on a slow worker misses its objective although it started
+    # in time; a task of another priority has more time.
+    job = builders.make_job("j", builders.make_step(1, 8), priority=priority)
+    workers = builders.make_workers(1, 2)
+    workers["w01"] = workers["w01"]._replace(slow=True)
+    result = plan([builders.make_waiting_group(job)], workers)
+    assert list_starts(result) == {"j": [expected]}
+
+
+@pytest.mark.parametrize(
+    ("lost_on_slow_ms", "stopped"), [(600, "w00"), (100, "w01")]
+)
+def test_stops_on_a_slow_worker_must_save_work(lost_on_slow_ms, stopped):
+    # A slow worker is only worth it if much less work is lost there.
+    urgent = builders.make_job("u", builders.make_step(1, 8), priority=0)
+    low = builders.make_job("low", builders.make_step(2, 8), priority=2)
+    held = [
+        builders.make_allocation(low, "w00", 0, lost_work_ms=1_000),
+        builders.make_allocation(low, "w01", 1, lost_work_ms=lost_on_slow_ms),
+    ]
+    workers = builders.make_workers(
+        1, 2, w00=taskjobs.NO_RESOURCES, w01=taskjobs.NO_RESOURCES
+    )
+    workers["w01"] = workers["w01"]._replace(slow=True)
+    result = plan([builders.make_waiting_group(urgent)], workers, held)
+    names = {held.task: held.worker_id for held in held}
+    assert [names[stop.task] for stop in result.stops] == [stopped]
+
+
 _steps = st.builds(
     builders.make_step,
     tasks=st.integers(1, 6),
--- a/testing/daemon/tasks/test_planning.py
+++ b/testing/daemon/tasks/test_planning.py
@@ -6,8 +6,10 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskplan
 from cyclamenshelf_core import taskprogress
+from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import planning
+from cyclamenshelf_daemon.tasks import ports
 
 NOW_MS = 100_000
 
@@ -39,3 +41,63 @@
         {},
     )
     assert [stop.task.group.job_id for stop in decision.stops] == ["old"]
+
+
+def add_job(ledger, tasks):
+    job = builders.make_job("j", builders.make_step(tasks, 1))
+    ledger.jobs["j"] = ledgers.JobEntry(
+        job, 1, taskprogress.Progress("queue", "account"), 1
+    )
+
+
+def run_task(ledger, worker, index, run_ms):
+    """Start a task of job j and apply its end after a run time."""
+    task = taskjobs.Task(taskjobs.Group("j", 0, 0), index)
+    run = ledgers.Run(task, index + 1, worker.info.id, NOW_MS - run_ms)
+    ledgers.add_run(ledger, run)
+    end = ports.EndedTask(
+        index + 1,
+        taskjobs.format_task(task),
+        run.number,
+        ports.EndKind.DONE,
+        "",
+    )
+    ledgers.apply_end(ledger, worker, end, NOW_MS, NOW_MS)
+
+
+def make_worker(worker_id):
+    worker = fleet.Worker(
+        ports.WorkerInfo(
+            worker_id,
+            1,
+            "",
+            "service",
+            "r0",
+            frozenset(),
+            builders.CAPACITY,
+            None,
+        )
+    )
+    fleet.record_response(worker, NOW_MS, NOW_MS)
+    return worker
+
+
+def test_worker_is_slow_after_long_runs_of_whole_tasks():
+    # Urgent tasks on it would miss their objectives.
+    ledger, workers = ledgers.Ledger(1), [make_worker("w0"), make_worker("w1")]
+    add_job(ledger, 20)
+    for index in range(12):
+        run_task(ledger, workers[index % 2], index, 500 + 500 * (index % 2))
+    capacities = planning.list_free_capacity(ledger, workers, NOW_MS)
+    assert [capacities[name].slow for name in ("w0", "w1")] == [False, True]
+
+
+def test_run_that_ends_after_its_job_leaves_no_run_times():
+    # Nothing would ever drop them again.
+    ledger, worker = ledgers.Ledger(1), make_worker("w0")
+    add_job(ledger, 2)
+    entry = ledger.jobs["j"]
+    run_task(ledger, worker, 0, 500)
+    ledgers.end_job(ledger, entry, taskprogress.State.CANCELLED, NOW_MS, "test")
+    run_task(ledger, worker, 1, 500)
+    assert not ledger.speeds.by_job
