--- a/benchmarks/taskreplay.py
+++ b/benchmarks/taskreplay.py
@@ -214,6 +214,7 @@
         ),
         planning.count_step_runs(ledger),
     )
+    planning.record_preempting_groups(ledger, plan)
     for stop in plan.stops:
         ledgers.stop_run(ledger, ledger.runs[stop.task], "preempted")
         state.stops += 1
--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -1,8 +1,9 @@
 """Planning of the tasks to start, and of those to preempt for them.
 
-Groups are scheduled by priority. Within a priority, groups that a guarantee
-covers come first, then those with the least slack until they would miss their
-objective; other groups that can no longer meet it come last. Only a group of
+Groups are scheduled by priority. Within a priority, groups for which tasks are
+being stopped come first, then those that a guarantee covers, then those with
+the least slack until they would miss their objective; other groups that can no
+longer meet it come last. Only a group of
 priority 0 may preempt tasks of lower priority. Capacity that is being freed
 for a group is reserved for it, and a few other gangs reserve capacity too.
 """
@@ -34,6 +35,7 @@
             negative if it already would.
         guaranteed: Whether the account's guarantee covers the job.
         allowed_workers: Workers that may run the tasks; None for any.
+        preempting: Whether tasks have been stopped for the group.
     """
 
     job: taskjobs.TaskJob
@@ -42,6 +44,7 @@
     slack_ms: int
     guaranteed: bool
     allowed_workers: frozenset[str] | None = None
+    preempting: bool = False
 
 
 class Start(NamedTuple):
@@ -164,6 +167,9 @@
     late = entry.slack_ms < 0 and not entry.guaranteed
     return (
         entry.job.priority,
+        # Another group would take the capacity that is freed for this one,
+        # for which more tasks would then be stopped.
+        not entry.preempting,
         not entry.guaranteed,
         late,
         entry.job.accepted_ms if late else entry.slack_ms,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -64,6 +64,7 @@
         dirty: Whether its progress has to be written.
         has_queued_row: Whether its row in the table of queued jobs exists.
         not_before_ms: Monotonic time before which a group is not started.
+        preempting: Groups that wait for tasks that were stopped for them.
     """
 
     def __init__(
@@ -82,6 +83,7 @@
             progress.state is taskprogress.State.QUEUED and not progress.timed
         )
         self.not_before_ms: dict[taskjobs.Group, int] = {}
+        self.preempting: set[taskjobs.Group] = set()
 
 
 class Ledger:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -219,6 +219,7 @@
         capacities,
         planning.count_step_runs(owner.ledger),
     )
+    planning.record_preempting_groups(owner.ledger, decision)
     owneradvice.request_advice(
         owner, waiting, set(decision.blocked), capacities
     )
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -57,11 +57,25 @@
                         indexes,
                         _compute_slack_ms(entry, group, times.wall_ms),
                         entry.job.id in guaranteed_jobs,
+                        preempting=group in entry.preempting,
                     )
                 )
     return waiting
 
 
+def record_preempting_groups(
+    ledger: ledgers.Ledger, plan: taskplan.Plan
+) -> None:
+    """Record which groups wait for tasks that a plan stops for them."""
+    blocked = set(plan.blocked)
+    for start in plan.starts:
+        if start.group not in blocked:
+            ledger.jobs[start.group.job_id].preempting.discard(start.group)
+    for stop in plan.stops:
+        group = stop.beneficiary
+        ledger.jobs[group.job_id].preempting.add(group)
+
+
 def list_allocations(
     ledger: ledgers.Ledger, lists: queues.Lists, now_ms: int
 ) -> list[taskvictims.Allocation]:
--- a/testing/core/test_taskplan.py
+++ b/testing/core/test_taskplan.py
@@ -225,6 +225,24 @@
     assert [names[stop.task] for stop in result.stops] == [stopped]
 
 
+def test_group_for_which_tasks_are_stopped_comes_first():
+    # A more urgent group took what was freed, and tasks were stopped again
+    # and again for the same gang.
+    first = builders.make_job("first", builders.make_step(2, 8), priority=0)
+    other = builders.make_job("other", builders.make_step(1, 8), priority=0)
+    low = builders.make_job("low", builders.make_step(1, 8), priority=2)
+    waiting = builders.make_waiting_group(first, slack_ms=500)
+    result = plan(
+        [
+            builders.make_waiting_group(other, slack_ms=100, guaranteed=True),
+            waiting._replace(preempting=True),
+        ],
+        builders.make_workers(1, 2, w01=taskjobs.NO_RESOURCES),
+        [builders.make_allocation(low, "w01", stopping=True)],
+    )
+    assert list_starts(result) == {"first": ["w00"]}
+
+
 _steps = st.builds(
     builders.make_step,
     tasks=st.integers(1, 6),
--- a/testing/daemon/tasks/test_planning.py
+++ b/testing/daemon/tasks/test_planning.py
@@ -101,3 +101,30 @@
     ledgers.end_job(ledger, entry, taskprogress.State.CANCELLED, NOW_MS, "test")
     run_task(ledger, worker, 1, 500)
     assert not ledger.speeds.by_job
+
+
+def test_group_is_preempting_until_all_its_tasks_start():
+    # Only as long as it waits may it come before more urgent groups.
+    ledger = ledgers.Ledger(1)
+    add_job(ledger, 2)
+    group = taskjobs.Group("j", 0, 0)
+    other = taskjobs.Task(taskjobs.Group("low", 0, 0), 0)
+    start = taskplan.Start(group, ((0, "w0"),))
+    times = planning.Times(NOW_MS, NOW_MS)
+
+    def is_preempting():
+        waiting = planning.list_waiting(ledger, conftest.LISTS, times, set())
+        return waiting[0].preempting
+
+    assert not is_preempting()
+    stops = [taskplan.Stop(other, group)]
+    planning.record_preempting_groups(
+        ledger, taskplan.Plan([start], stops, [group])
+    )
+    assert is_preempting()
+    planning.record_preempting_groups(
+        ledger, taskplan.Plan([start], [], [group])
+    )
+    assert is_preempting()
+    planning.record_preempting_groups(ledger, taskplan.Plan([start], [], []))
+    assert not is_preempting()
