--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -132,10 +132,9 @@
 
     def get_soon_free(self, worker_id: str) -> taskjobs.Resources:
         """Return the resources that are free or being released."""
-        return taskjobs.add(
-            self.capacity.free[worker_id],
-            self.victims.releasing.get(worker_id, taskjobs.NO_RESOURCES),
-        )
+        free = self.capacity.free[worker_id]
+        releasing = self.victims.releasing.get(worker_id)
+        return free if releasing is None else taskjobs.add(free, releasing)
 
 
 def plan(
@@ -265,7 +264,13 @@
     if required_count >= state.unplaceable.get(shape, required_count + 1):
         return []
     found = _search_workers(
-        state, entry, allow_remote, state.capacity.free.__getitem__
+        state,
+        _make_query(
+            entry,
+            taskspace.list_fitting(state.capacity, entry.job, step),
+            state.capacity.free.__getitem__,
+        ),
+        allow_remote,
     )
     if not found and not step.max_per_worker:
         state.unplaceable[shape] = required_count
@@ -279,34 +284,47 @@
 
     Released capacity is what stopping tasks are about to release.
     """
-    return _search_workers(state, entry, allow_remote, state.get_soon_free)
+    capacity, step = state.capacity, entry.job.steps[entry.group.step]
+    candidates = {
+        worker.id: worker
+        for worker in taskspace.list_fitting(capacity, entry.job, step)
+    }
+    for worker_id in state.victims.releasing:
+        worker = capacity.workers.get(worker_id)
+        if worker and taskspace.is_eligible(worker, entry.job, step):
+            candidates[worker_id] = worker
+    return _search_workers(
+        state,
+        _make_query(entry, list(candidates.values()), state.get_soon_free),
+        allow_remote,
+    )
 
 
-def _search_workers(
-    state: _PlanningState,
+def _make_query(
     entry: WaitingGroup,
-    allow_remote: bool,
+    candidates: list[taskspace.CandidateWorker],
     get_available: Callable[[str], taskjobs.Resources],
-) -> list[str]:
-    step_number, tasks = entry.group.step, len(entry.indexes)
-    found = taskspace.find_workers(
-        state.capacity,
+    allow_remote: bool = False,
+) -> taskspace.Query:
+    return taskspace.Query(
         entry.job,
-        step_number,
-        tasks,
+        entry.group.step,
+        len(entry.indexes),
+        candidates,
         get_available,
-        allow_remote=False,
-        allowed_workers=entry.allowed_workers,
+        allow_remote,
+        entry.allowed_workers,
     )
-    if len(found) < tasks and allow_remote:
+
+
+def _search_workers(
+    state: _PlanningState, query: taskspace.Query, allow_remote: bool
+) -> list[str]:
+    """Return a worker for each task, off the rack of the data if necessary."""
+    found = taskspace.find_workers(state.capacity, query)
+    if len(found) < query.tasks and allow_remote:
         remote = taskspace.find_workers(
-            state.capacity,
-            entry.job,
-            step_number,
-            tasks,
-            get_available,
-            allow_remote=True,
-            allowed_workers=entry.allowed_workers,
+            state.capacity, query._replace(allow_remote=True)
         )
         found = max(found, remote, key=len)
     return found
@@ -381,13 +399,13 @@
 
     slots = taskspace.list_slots(
         state.capacity,
-        entry.job,
-        entry.group.step,
-        len(entry.indexes),
-        get_available,
-        allow_remote,
+        _make_query(
+            entry,
+            taskspace.list_eligible(state.capacity, entry.job, step),
+            get_available,
+            allow_remote,
+        ),
         get_cost,
-        entry.allowed_workers,
     )
     if step.gang and sum(slots.values()) < len(entry.indexes):
         return
--- a/packages/core/src/cyclamenshelf_core/taskspace.py
+++ b/packages/core/src/cyclamenshelf_core/taskspace.py
@@ -38,6 +38,9 @@
         counts: Number of tasks by job, step and worker, for steps that
             limit the tasks on a worker.
         eligible: Cache of the eligible workers by service and label.
+        fitting: Workers with free capacity for a task, by service, label and
+            need, at the last search. No others can follow, as free capacity
+            only shrinks within a decision.
         rack_slots: Cache of `count_slots_of_largest_rack`.
         best_effort_workers: Workers that run best-effort tasks.
         latency_sensitive_workers: Workers that run latency-sensitive tasks.
@@ -52,6 +55,9 @@
         self.free = {worker.id: worker.free for worker in workers.values()}
         self.counts = dict(counts)
         self.eligible: dict[tuple[str, str], list[CandidateWorker]] = {}
+        self.fitting: dict[
+            tuple[str, str, taskjobs.Resources], list[CandidateWorker]
+        ] = {}
         self.rack_slots: dict[tuple, int] = {}
         self.best_effort_workers: set[str] = set()
         self.latency_sensitive_workers: set[str] = set()
@@ -144,48 +150,62 @@
     return found
 
 
-def find_workers(
-    capacity: FreeCapacity,
-    job: taskjobs.TaskJob,
-    step_number: int,
-    tasks: int,
-    get_available: Callable[[str], taskjobs.Resources],
-    allow_remote: bool,
-    allowed_workers: frozenset[str] | None = None,
-) -> list[str]:
-    """Return a worker for each task of a step that can be placed.
+def list_fitting(
+    capacity: FreeCapacity, job: taskjobs.TaskJob, step: taskjobs.Step
+) -> list[CandidateWorker]:
+    """Return the eligible workers with free capacity for a task of a step."""
+    key = (job.service, step.label, step.need)
+    known = capacity.fitting.get(key)
+    if known is None:
+        known = list_eligible(capacity, job, step)
+    free, need = capacity.free, step.need
+    found = capacity.fitting[key] = [
+        worker
+        for worker in known
+        if taskjobs.count_fitting(free[worker.id], need) > 0
+    ]
+    return found
 
-    A gang is placed as a whole or not at all. Workers on the rack of the data
-    come first; others are used only if `allow_remote`. Priority 0 prefers
-    workers that are not slow, and other priorities leave these to it. Among
-    equal workers the one with the least available capacity comes first, so
-    that whole workers stay free for large tasks.
 
-    Args:
-        capacity: Free capacity of the workers; not changed.
+class Query(NamedTuple):
+    """A search for workers that can run tasks of a step.
+
+    Attributes:
         job: The job.
         step_number: Number of its step.
         tasks: Number of tasks to place.
+        candidates: Workers on which a task may fit.
         get_available: Returns the resources to assume available on a worker.
         allow_remote: Whether tasks may run off the rack of their data, and a
             gang on several racks, where they are slow.
         allowed_workers: Workers that may run the step; None for any.
     """
-    step = job.steps[step_number]
-    slots = list_slots(
-        capacity,
-        job,
-        step_number,
-        tasks,
-        get_available,
-        allow_remote,
-        allowed_workers=allowed_workers,
-    )
-    if step.gang and sum(slots.values()) < tasks:
+
+    job: taskjobs.TaskJob
+    step_number: int
+    tasks: int
+    candidates: Iterable[CandidateWorker]
+    get_available: Callable[[str], taskjobs.Resources]
+    allow_remote: bool
+    allowed_workers: frozenset[str] | None = None
+
+
+def find_workers(capacity: FreeCapacity, query: Query) -> list[str]:
+    """Return a worker for each task of a step that can be placed.
+
+    A gang is placed as a whole or not at all. Workers on the rack of the data
+    come first. Priority 0 prefers workers that are not slow, and other
+    priorities leave these to it. Among equal workers the one with the least
+    available capacity comes first, so that whole workers stay free for large
+    tasks.
+    """
+    job, step = query.job, query.job.steps[query.step_number]
+    slots = list_slots(capacity, query)
+    if step.gang and sum(slots.values()) < query.tasks:
         return []
 
     def get_key(worker_id: str) -> tuple:
-        available = get_available(worker_id)
+        available = query.get_available(worker_id)
         worker = capacity.workers[worker_id]
         return (
             bool(step.data_rack) and step.data_rack != worker.rack,
@@ -196,24 +216,18 @@
             worker_id,
         )
 
-    ordered = sorted(slots, key=get_key)
     placed: list[str] = []
-    for worker_id in ordered:
-        placed += [worker_id] * min(slots[worker_id], tasks - len(placed))
-        if len(placed) == tasks:
+    for worker_id in sorted(slots, key=get_key):
+        placed += [worker_id] * min(slots[worker_id], query.tasks - len(placed))
+        if len(placed) == query.tasks:
             break
     return placed
 
 
 def list_slots(
     capacity: FreeCapacity,
-    job: taskjobs.TaskJob,
-    step_number: int,
-    tasks: int,
-    get_available: Callable[[str], taskjobs.Resources],
-    allow_remote: bool,
+    query: Query,
     get_cost: Callable[[str], float] = lambda worker_id: 0,
-    allowed_workers: frozenset[str] | None = None,
 ) -> dict[str, int]:
     """Return how many tasks of a step fit on each worker that may run it.
 
@@ -222,68 +236,52 @@
 
     Args:
         capacity: Free capacity of the workers; not changed.
-        job: The job.
-        step_number: Number of its step.
-        tasks: Number of tasks to place.
-        get_available: Returns the resources to assume available on a worker.
-        allow_remote: Whether tasks may run off the rack of their data, and a
-            gang on several racks, where they are slow.
+        query: What to place.
         get_cost: Returns the cost of a task on a worker; the rack where the
             tasks cost least is chosen.
-        allowed_workers: Workers that may run the step; None for any.
     """
-    step = job.steps[step_number]
-    required_rack = "" if allow_remote else step.data_rack
-    slots = _count_slots(
-        capacity,
-        job,
-        step_number,
-        get_available,
-        required_rack,
-        allowed_workers,
-    )
+    step = query.job.steps[query.step_number]
+    required_rack = "" if query.allow_remote else step.data_rack
+    slots = _count_slots(capacity, query, required_rack)
     if step.gang and step.same_rack:
         rack_slots = _choose_rack(
-            capacity, slots, tasks, step.data_rack, get_cost
+            capacity, slots, query.tasks, step.data_rack, get_cost
         )
         if rack_slots is not None:
             return rack_slots
-        if not allow_remote:
+        if not query.allow_remote:
             return {}
     return slots
 
 
 def _count_slots(
-    capacity: FreeCapacity,
-    job: taskjobs.TaskJob,
-    step_number: int,
-    get_available: Callable[[str], taskjobs.Resources],
-    required_rack: str,
-    allowed_workers: frozenset[str] | None,
+    capacity: FreeCapacity, query: Query, required_rack: str
 ) -> dict[str, int]:
     """Return the number of tasks that fit, by worker on which any fits.
 
     Args:
         capacity: Free capacity of the workers.
-        job: The job.
-        step_number: Number of its step.
-        get_available: Returns the resources to assume available on a worker.
+        query: What to place.
         required_rack: Rack to which workers are limited; empty for any.
-        allowed_workers: Workers that may run the step; None for any.
     """
-    step = job.steps[step_number]
+    step, allowed_workers = (
+        query.job.steps[query.step_number],
+        query.allowed_workers,
+    )
     slots: dict[str, int] = {}
-    for worker in list_eligible(capacity, job, step):
+    for worker in query.candidates:
         if required_rack and worker.rack != required_rack:
             continue
         if allowed_workers is not None and worker.id not in allowed_workers:
             continue
-        if would_interfere(capacity, worker.id, step):
+        count = taskjobs.count_fitting(
+            query.get_available(worker.id), step.need
+        )
+        if not count or would_interfere(capacity, worker.id, step):
             continue
-        available = get_available(worker.id)
-        count = taskjobs.count_fitting(available, step.need)
-        if step.max_per_worker and count:
-            held = capacity.counts.get((job.id, step_number, worker.id), 0)
+        if step.max_per_worker:
+            key = (query.job.id, query.step_number, worker.id)
+            held = capacity.counts.get(key, 0)
             count = min(count, max(0, step.max_per_worker - held))
         if count > 0:
             slots[worker.id] = count
