--- a/benchmarks/task_decisions.py
+++ b/benchmarks/task_decisions.py
@@ -134,7 +134,7 @@
         planning.list_waiting(ledger, _LISTS, times, set()),
         planning.list_allocations(ledger, _LISTS, _NOW_MS),
         planning.list_free_capacity(ledger, members, _NOW_MS),
-        planning.count_step_runs(ledger),
+        ledger.step_counts,
     )
 
 
--- a/benchmarks/taskreplay.py
+++ b/benchmarks/taskreplay.py
@@ -212,7 +212,7 @@
         planning.list_free_capacity(
             ledger, state.workers.values(), state.now_ms
         ),
-        planning.count_step_runs(ledger),
+        ledger.step_counts,
     )
     planning.record_preempting_groups(ledger, plan)
     for stop in plan.stops:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -13,6 +13,10 @@
 _RUNS_PER_EPOCH = 1_000_000
 
 
+# Job, step and worker.
+StepKey = tuple[str, int, str]
+
+
 class Phase(enum.Enum):
     """Progress of a run as the owner has recorded it."""
 
@@ -91,6 +95,9 @@
 
     Attributes:
         by_group: Runs by group; `by_job` and `by_worker` index the same runs.
+        used: Resources allocated to runs, by worker.
+        step_counts: Number of runs by job, step and worker. The runs of all
+            occurrences of a job are counted together.
         run_count: Run numbers allocated so far.
         stops: Runs for which a stop has to be sent.
         speeds: Estimates of the workers' speeds.
@@ -103,6 +110,8 @@
         self.by_group: dict[taskjobs.Group, dict[taskjobs.Task, Run]] = {}
         self.by_job: dict[str, dict[taskjobs.Task, Run]] = {}
         self.by_worker: dict[str, dict[taskjobs.Task, Run]] = {}
+        self.used: dict[str, taskjobs.Resources] = {}
+        self.step_counts: dict[StepKey, int] = {}
         self.run_count = 0
         self.stops: list[Run] = []
         self.speeds = workerspeeds.SpeedEstimates()
@@ -137,6 +146,12 @@
     ledger.runs[run.task] = run
     for index, key in _list_indexes(ledger, run):
         index.setdefault(key, {})[run.task] = run
+    ledger.used[run.worker_id] = taskjobs.add(
+        ledger.used.get(run.worker_id, taskjobs.NO_RESOURCES),
+        get_need(ledger, run),
+    )
+    key = _get_step_key(run)
+    ledger.step_counts[key] = ledger.step_counts.get(key, 0) + 1
 
 
 def remove_run(ledger: Ledger, run: Run) -> None:
@@ -146,6 +161,20 @@
         del index[key][run.task]
         if not index[key]:
             del index[key]
+    if run.worker_id in ledger.by_worker:
+        ledger.used[run.worker_id] = taskjobs.subtract(
+            ledger.used[run.worker_id], get_need(ledger, run)
+        )
+    else:
+        del ledger.used[run.worker_id]
+    key = _get_step_key(run)
+    ledger.step_counts[key] -= 1
+    if not ledger.step_counts[key]:
+        del ledger.step_counts[key]
+
+
+def _get_step_key(run: Run) -> StepKey:
+    return (run.task.group.job_id, run.task.group.step, run.worker_id)
 
 
 def _list_indexes(ledger: Ledger, run: Run) -> tuple[tuple[dict, Any], ...]:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -217,7 +217,7 @@
         waiting,
         planning.list_allocations(owner.ledger, lists, times.now_ms),
         capacities,
-        planning.count_step_runs(owner.ledger),
+        owner.ledger.step_counts,
     )
     planning.record_preempting_groups(owner.ledger, decision)
     owneradvice.request_advice(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -82,29 +82,28 @@
     """Return every run that has resources allocated."""
     guaranteed_jobs = list_guaranteed_jobs(ledger, lists)
     held: list[taskvictims.Allocation] = []
-    for run in ledger.runs.values():
-        entry = ledger.jobs[run.task.group.job_id]
-        step = entry.job.steps[run.task.group.step]
+    for group, runs in ledger.by_group.items():
+        job = ledger.jobs[group.job_id].job
+        step = job.steps[group.step]
         # A stopped checkpointable task keeps its work and only loses the
         # time of the restore.
-        lost_ms = max(0, now_ms - run.since_ms)
-        if step.checkpointable:
-            lost_ms = min(lost_ms, _RESTORE_MS)
-        held.append(
-            taskvictims.Allocation(
-                run.task,
-                run.worker_id,
-                step.need,
-                entry.job.priority,
-                step.gang,
-                step.long_running,
-                lost_ms,
-                run.phase in (ledgers.Phase.STOPPING, ledgers.Phase.LOST),
-                entry.job.id in guaranteed_jobs,
-                step.fills,
-                step.tail_target_ms > 0,
+        max_lost_ms = _RESTORE_MS if step.checkpointable else now_ms
+        for run in runs.values():
+            held.append(
+                taskvictims.Allocation(
+                    run.task,
+                    run.worker_id,
+                    step.need,
+                    job.priority,
+                    step.gang,
+                    step.long_running,
+                    min(max(0, now_ms - run.since_ms), max_lost_ms),
+                    run.phase in (ledgers.Phase.STOPPING, ledgers.Phase.LOST),
+                    job.id in guaranteed_jobs,
+                    step.fills,
+                    step.tail_target_ms > 0,
+                )
             )
-        )
     return held
 
 
@@ -112,16 +111,10 @@
     ledger: ledgers.Ledger, workers: Iterable[fleet.Worker], now_ms: int
 ) -> dict[str, taskspace.CandidateWorker]:
     """Return the workers that may be given tasks, with their free capacity."""
-    used: dict[str, taskjobs.Resources] = {}
-    for run in ledger.runs.values():
-        used[run.worker_id] = taskjobs.add(
-            used.get(run.worker_id, taskjobs.NO_RESOURCES),
-            ledgers.get_need(ledger, run),
-        )
     return {
         worker.info.id: fleet.get_free_capacity(
             worker,
-            used.get(worker.info.id, taskjobs.NO_RESOURCES),
+            ledger.used.get(worker.info.id, taskjobs.NO_RESOURCES),
             workerspeeds.is_slow(ledger.speeds, worker.info.id),
         )
         for worker in workers
@@ -129,18 +122,6 @@
     }
 
 
-def count_step_runs(ledger: ledgers.Ledger) -> dict[tuple[str, int, str], int]:
-    """Return the number of runs by job, step and worker.
-
-    The runs of all occurrences of a job are counted together.
-    """
-    counts: dict[tuple[str, int, str], int] = {}
-    for run in ledger.runs.values():
-        key = (run.task.group.job_id, run.task.group.step, run.worker_id)
-        counts[key] = counts.get(key, 0) + 1
-    return counts
-
-
 def list_guaranteed_jobs(
     ledger: ledgers.Ledger, lists: queues.Lists
 ) -> set[str]:
