--- a/benchmarks/task_decisions.py
+++ b/benchmarks/task_decisions.py
@@ -22,6 +22,7 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskplan
 from cyclamenshelf_core import taskprogress
+from cyclamenshelf_core import urgentdemand
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import planning
@@ -130,11 +131,14 @@
 ) -> taskplan.Plan:
     """Compute one plan as the owner does."""
     times = planning.Times(_NOW_MS, _NOW_MS)
+    waiting = planning.list_waiting(ledger, _LISTS, times, set())
+    planning.record_urgent_demand(ledger, waiting, _NOW_MS)
     return taskplan.plan(
-        planning.list_waiting(ledger, _LISTS, times, set()),
+        waiting,
         planning.list_allocations(ledger, _LISTS, _NOW_MS),
         planning.list_free_capacity(ledger, members, _NOW_MS),
         ledger.step_counts,
+        urgentdemand.compute_headroom(ledger.urgent_demand, _NOW_MS),
     )
 
 
--- a/benchmarks/taskreplay.py
+++ b/benchmarks/taskreplay.py
@@ -27,6 +27,7 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskplan
 from cyclamenshelf_core import taskprogress
+from cyclamenshelf_core import urgentdemand
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import planning
@@ -206,6 +207,7 @@
     waiting = planning.list_waiting(ledger, lists, times, set())
     if not waiting:
         return
+    planning.record_urgent_demand(ledger, waiting, state.now_ms)
     plan = taskplan.plan(
         waiting,
         planning.list_allocations(ledger, lists, state.now_ms),
@@ -213,6 +215,7 @@
             ledger, state.workers.values(), state.now_ms
         ),
         ledger.step_counts,
+        urgentdemand.compute_headroom(ledger.urgent_demand, state.now_ms),
     )
     planning.record_preempting_groups(ledger, plan)
     for stop in plan.stops:
--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -3,9 +3,10 @@
 Groups are scheduled by priority. Within a priority, groups for which tasks are
 being stopped come first, then those that a guarantee covers, then those with
 the least slack until they would miss their objective; other groups that can no
-longer meet it come last. Only a group of
-priority 0 may preempt tasks of lower priority. Capacity that is being freed
-for a group is reserved for it, and a few other gangs reserve capacity too.
+longer meet it come last. Only a group of priority 0 may preempt tasks of lower
+priority. Capacity that is being freed for a group is reserved for it, and a
+few other gangs reserve capacity too. Some capacity stays free for groups of
+priority 0 that may arrive next.
 """
 
 from collections.abc import Callable
@@ -16,12 +17,6 @@
 from cyclamenshelf_core import taskvictims
 from cyclamenshelf_core import victimsearch
 
-# On each rack, this many workers with the most free accelerators are reserved:
-# tasks of priority 2 and lower priorities cannot use them. Urgent groups can
-# start there without preemption, which takes most of the time that their
-# objective allows.
-_RESERVED_PER_RACK = 1
-_FIRST_EXCLUDED_PRIORITY = 2
 # How many blocked gangs below priority 0 get capacity reserved per decision.
 _MAX_GANG_RESERVATIONS = 3
 
@@ -102,7 +97,6 @@
         victims: All allocations, and the tasks chosen to be stopped.
         gang_reservations: Number of blocked gangs below priority 0 for which
             capacity was reserved.
-        reserved_workers: Workers that the remaining groups may not use.
         unplaceable: By shape, the smallest number of tasks that could not be
             placed. More cannot be placed later either, as free capacity only
             shrinks within a decision.
@@ -127,7 +121,6 @@
         self.stops: list[Stop] = []
         self.blocked: list[taskjobs.Group] = []
         self.gang_reservations = 0
-        self.reserved_workers: set[str] = set()
         self.unplaceable: dict[_Shape, int] = {}
 
     def get_soon_free(self, worker_id: str) -> taskjobs.Resources:
@@ -142,6 +135,7 @@
     held: list[taskvictims.Allocation],
     workers: dict[str, taskspace.CandidateWorker],
     counts: dict[tuple[str, int, str], int],
+    urgent_headroom: dict[str, int],
 ) -> Plan:
     """Return the tasks to start and to stop.
 
@@ -150,14 +144,15 @@
         held: Allocations of all tasks.
         workers: Workers that accept tasks, by id.
         counts: Number of allocated tasks by job, step and worker.
+        urgent_headroom: Number of accelerators to keep free for groups of
+            priority 0 that may arrive next, by service.
     """
     state = _PlanningState(workers, held, counts)
+    headroom_reserved = False
     for entry in sorted(waiting, key=_get_sort_key):
-        if (
-            entry.job.priority >= _FIRST_EXCLUDED_PRIORITY
-            and not state.reserved_workers
-        ):
-            _reserve_workers(state)
+        if entry.job.priority > 0 and not headroom_reserved:
+            headroom_reserved = True
+            _reserve_headroom(state, urgent_headroom)
         _schedule_group(state, entry)
     return Plan(state.starts, state.stops, state.blocked)
 
@@ -176,22 +171,23 @@
     )
 
 
-def _reserve_workers(state: _PlanningState) -> None:
-    """Reserve the workers with the most free accelerators on each rack.
+def _reserve_headroom(
+    state: _PlanningState, urgent_headroom: dict[str, int]
+) -> None:
+    """Reserve whole workers with a number of free accelerators in total.
 
-    The groups that are scheduled afterwards cannot use them.
+    The groups that are scheduled afterwards cannot use them. The workers with
+    the most free accelerators are taken, as an urgent task may need a whole
+    worker.
     """
-    free = state.capacity.free
-    racks: dict[str, list[str]] = {}
-    for worker in state.capacity.workers.values():
-        racks.setdefault(worker.rack, []).append(worker.id)
-    for worker_ids in racks.values():
-        # On a rack of one or two workers, at least half would stay idle.
-        if len(worker_ids) <= 2 * _RESERVED_PER_RACK:
-            continue
-        worker_ids.sort(key=lambda name: (free[name].accelerators, name))
-        for worker_id in worker_ids[-_RESERVED_PER_RACK:]:
-            state.reserved_workers.add(worker_id)
+    free, workers = state.capacity.free, state.capacity.workers
+    missing = dict(urgent_headroom)
+    for worker_id in sorted(
+        free, key=lambda name: (-free[name].accelerators, name)
+    ):
+        service = workers[worker_id].service
+        if missing.get(service, 0) > 0 and free[worker_id].accelerators > 0:
+            missing[service] -= free[worker_id].accelerators
             free[worker_id] = taskjobs.NO_RESOURCES
 
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -5,6 +5,7 @@
 
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
+from cyclamenshelf_core import urgentdemand
 from cyclamenshelf_core import workerspeeds
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon.tasks import fleet
@@ -101,6 +102,7 @@
         run_count: Run numbers allocated so far.
         stops: Runs for which a stop has to be sent.
         speeds: Estimates of the workers' speeds.
+        urgent_demand: Recent demand of priority 0.
     """
 
     def __init__(self, epoch: int) -> None:
@@ -115,6 +117,7 @@
         self.run_count = 0
         self.stops: list[Run] = []
         self.speeds = workerspeeds.SpeedEstimates()
+        self.urgent_demand = urgentdemand.UrgentDemand()
 
 
 def allocate_run_number(ledger: Ledger) -> int:
@@ -146,12 +149,14 @@
     ledger.runs[run.task] = run
     for index, key in _list_indexes(ledger, run):
         index.setdefault(key, {})[run.task] = run
-    ledger.used[run.worker_id] = taskjobs.add(
-        ledger.used.get(run.worker_id, taskjobs.NO_RESOURCES),
-        get_need(ledger, run),
-    )
+    need = get_need(ledger, run)
+    used = ledger.used.get(run.worker_id, taskjobs.NO_RESOURCES)
+    ledger.used[run.worker_id] = taskjobs.add(used, need)
     key = _get_step_key(run)
     ledger.step_counts[key] = ledger.step_counts.get(key, 0) + 1
+    job = ledger.jobs[run.task.group.job_id].job
+    if job.priority == 0:
+        ledger.urgent_demand.in_use[job.service] += need.accelerators
 
 
 def remove_run(ledger: Ledger, run: Run) -> None:
@@ -161,16 +166,19 @@
         del index[key][run.task]
         if not index[key]:
             del index[key]
+    need = get_need(ledger, run)
     if run.worker_id in ledger.by_worker:
-        ledger.used[run.worker_id] = taskjobs.subtract(
-            ledger.used[run.worker_id], get_need(ledger, run)
-        )
+        used = ledger.used[run.worker_id]
+        ledger.used[run.worker_id] = taskjobs.subtract(used, need)
     else:
         del ledger.used[run.worker_id]
     key = _get_step_key(run)
     ledger.step_counts[key] -= 1
     if not ledger.step_counts[key]:
         del ledger.step_counts[key]
+    job = ledger.jobs[run.task.group.job_id].job
+    if job.priority == 0:
+        ledger.urgent_demand.in_use[job.service] -= need.accelerators
 
 
 def _get_step_key(run: Run) -> StepKey:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -9,6 +9,7 @@
 
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskplan
+from cyclamenshelf_core import urgentdemand
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import supervision
 from cyclamenshelf_daemon.tasks import fleet
@@ -213,11 +214,13 @@
     waiting = [owneradvice.restrict_workers(owner, entry) for entry in waiting]
     if not waiting:
         return
+    planning.record_urgent_demand(owner.ledger, waiting, times.now_ms)
     decision = taskplan.plan(
         waiting,
         planning.list_allocations(owner.ledger, lists, times.now_ms),
         capacities,
         owner.ledger.step_counts,
+        urgentdemand.compute_headroom(owner.ledger.urgent_demand, times.now_ms),
     )
     planning.record_preempting_groups(owner.ledger, decision)
     owneradvice.request_advice(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -1,5 +1,6 @@
 """Build the planner's input from the owner's ledger."""
 
+import collections
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -8,6 +9,7 @@
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_core import taskspace
 from cyclamenshelf_core import taskvictims
+from cyclamenshelf_core import urgentdemand
 from cyclamenshelf_core import workerspeeds
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
@@ -122,6 +124,18 @@
     }
 
 
+def record_urgent_demand(
+    ledger: ledgers.Ledger, waiting: list[taskplan.WaitingGroup], now_ms: int
+) -> None:
+    """Record how many accelerators priority 0 uses and waits for."""
+    missing: collections.Counter[str] = collections.Counter()
+    for entry in waiting:
+        if entry.job.priority == 0:
+            need = entry.job.steps[entry.group.step].need
+            missing[entry.job.service] += need.accelerators * len(entry.indexes)
+    urgentdemand.record_demand(ledger.urgent_demand, missing, now_ms)
+
+
 def list_guaranteed_jobs(
     ledger: ledgers.Ledger, lists: queues.Lists
 ) -> set[str]:
--- a/testing/core/test_taskplan.py
+++ b/testing/core/test_taskplan.py
@@ -11,7 +11,7 @@
 
 
 def plan(waiting, workers, held=(), counts=None):
-    return taskplan.plan(list(waiting), list(held), workers, counts or {})
+    return taskplan.plan(list(waiting), list(held), workers, counts or {}, {})
 
 
 def list_starts(result):
@@ -243,6 +243,27 @@
     assert list_starts(result) == {"first": ["w00"]}
 
 
+@pytest.mark.parametrize(
+    ("headroom", "priority", "tasks"),
+    [
+        ({}, 1, 32),
+        ({"service": 9}, 1, 16),
+        ({"service": 9}, 2, 16),
+        ({"service": 9}, 0, 32),
+        ({"service": 99}, 1, 0),
+        ({"other service": 99}, 1, 32),
+    ],
+)
+def test_headroom_stays_free_for_priority_0(headroom, priority, tasks):
+    # Without it, nearly every urgent job of a busy fleet had to wait until
+    # other tasks were stopped for it.
+    job = builders.make_job("j", builders.make_step(40, 1), priority=priority)
+    waiting = [builders.make_waiting_group(job)]
+    workers = builders.make_workers(2, 2)
+    result = taskplan.plan(waiting, [], workers, {}, headroom)
+    assert sum(len(start.placements) for start in result.starts) == tasks
+
+
 _steps = st.builds(
     builders.make_step,
     tasks=st.integers(1, 6),
--- a/testing/core/test_victimsearch.py
+++ b/testing/core/test_victimsearch.py
@@ -19,7 +19,7 @@
 def plan_urgent(tasks, workers, held, **step):
     job = builders.make_job("urgent", builders.make_step(tasks, 8, **step))
     waiting = builders.make_waiting_group(job._replace(priority=0))
-    result = taskplan.plan([waiting], held, workers, {})
+    result = taskplan.plan([waiting], held, workers, {}, {})
     return {(stop.task.group.job_id, stop.task.index) for stop in result.stops}
 
 
@@ -86,7 +86,7 @@
         "urgent", builders.make_step(2, 1, gang=True, max_per_worker=1)
     )
     waiting = builders.make_waiting_group(job._replace(priority=0))
-    result = taskplan.plan([waiting], held, workers, {})
+    result = taskplan.plan([waiting], held, workers, {}, {})
     assert {stop.task.group.job_id[:4] for stop in result.stops} == {
         "jw00",
         "jw01",
--- a/testing/daemon/tasks/test_ledger.py
+++ b/testing/daemon/tasks/test_ledger.py
@@ -14,7 +14,7 @@
 def make_ledger():
     """Return a ledger with a job of two occurrences of two steps."""
     steps = (builders.make_step(3, 2), builders.make_step(3, 1, 500))
-    job = builders.make_job("j", *steps, repetitions=2)
+    job = builders.make_job("j", *steps, repetitions=2, priority=0)
     ledger = ledgers.Ledger(1)
     progress = taskprogress.Progress("queue", "account")
     ledger.jobs["j"] = ledgers.JobEntry(job, 1, progress, 1)
@@ -32,7 +32,7 @@
             ledgers.remove_run(ledger, ledger.runs[task])
         else:
             ledgers.add_run(ledger, ledgers.Run(task, 1, worker_id, 0))
-    used, counts = {}, {}
+    used, counts, urgent_use = {}, {}, 0
     for run in ledger.runs.values():
         used[run.worker_id] = taskjobs.add(
             used.get(run.worker_id, taskjobs.NO_RESOURCES),
@@ -40,5 +40,7 @@
         )
         key = ("j", run.task.group.step, run.worker_id)
         counts[key] = counts.get(key, 0) + 1
+        urgent_use += ledgers.get_need(ledger, run).accelerators
     assert ledger.used == used
     assert ledger.step_counts == counts
+    assert ledger.urgent_demand.in_use["service"] == urgent_use
--- a/testing/daemon/tasks/test_planning.py
+++ b/testing/daemon/tasks/test_planning.py
@@ -6,6 +6,7 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskplan
 from cyclamenshelf_core import taskprogress
+from cyclamenshelf_core import urgentdemand
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import planning
@@ -39,6 +40,7 @@
         planning.list_allocations(ledger, conftest.LISTS, NOW_MS),
         capacities,
         {},
+        {},
     )
     assert [stop.task.group.job_id for stop in decision.stops] == ["old"]
 
@@ -128,3 +130,19 @@
     assert is_preempting()
     planning.record_preempting_groups(ledger, taskplan.Plan([start], [], []))
     assert not is_preempting()
+
+
+def test_urgent_demand_counts_running_and_waiting_tasks():
+    # With the waiting tasks left out, a burst that has to wait would not show.
+    ledger, worker = ledgers.Ledger(1), make_worker("w0")
+    add_job(ledger, 4)
+    entry = ledger.jobs["j"]
+    entry.job = entry.job._replace(priority=0)
+    task = taskjobs.Task(taskjobs.Group("j", 0, 0), 0)
+    run = ledgers.Run(task, 1, worker.info.id, NOW_MS)
+    ledgers.add_run(ledger, run)
+    waiting = [builders.make_waiting_group(entry.job, indexes=(1, 2, 3))]
+    planning.record_urgent_demand(ledger, waiting, NOW_MS)
+    ledgers.remove_run(ledger, run)
+    headroom = urgentdemand.compute_headroom(ledger.urgent_demand, NOW_MS)
+    assert headroom == {"service": 4}
