--- a/benchmarks/taskreplay.py
+++ b/benchmarks/taskreplay.py
@@ -33,6 +33,7 @@
 from cyclamenshelf_daemon.tasks import planning
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import queues
+from cyclamenshelf_daemon.tasks import runends
 
 # Jobs that have not ended this long after the last arrival count as not served.
 _FINISH_MS = 15_000
@@ -338,7 +339,7 @@
         kind,
         checkpoint,
     )
-    ledgers.apply_end(state.ledger, worker, end, state.now_ms, state.now_ms)
+    runends.apply_end(state.ledger, worker, end, state.now_ms, state.now_ms)
     worker.quarantined_until_ms = 0
     state.changed = True
     if entry.progress.state in taskprogress.ENDED:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
@@ -10,6 +10,7 @@
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import planning
 from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks import runends
 
 StopOrphan = Callable[[fleet.Worker, str, int], None]
 
@@ -37,7 +38,7 @@
     previous_number = worker.applied_number
     for end in sorted(response.ended):
         if end.number > worker.applied_number:
-            ledgers.apply_end(ledger, worker, end, *times)
+            runends.apply_end(ledger, worker, end, *times)
             worker.applied_number = end.number
     running_keys = {(run.name, run.run) for run in response.running}
     for running in response.running:
@@ -74,7 +75,7 @@
         if run.phase is ledgers.Phase.PLANNED:
             ledgers.remove_run(ledger, run)
         elif run.acked_ms is not None:
-            ledgers.requeue_run(ledger, run, now_ms, "worker_reborn")
+            runends.requeue_run(ledger, run, now_ms, "worker_reborn")
         else:
             ledgers.mark_unacknowledged(ledger, run)
 
@@ -89,7 +90,7 @@
         return False
     runs = ledgers.list_worker_runs(ledger, worker.info.id)
     for run in runs:
-        ledgers.requeue_run(ledger, run, now_ms, "lease_lapsed")
+        runends.requeue_run(ledger, run, now_ms, "lease_lapsed")
     return bool(runs)
 
 
@@ -181,6 +182,6 @@
         else:
             acknowledged_ms = run.acked_ms
         if acknowledged_ms is not None and acknowledged_ms < sent_ms:
-            ledgers.requeue_run(ledger, run, now_ms, "not_listed")
+            runends.requeue_run(ledger, run, now_ms, "not_listed")
             requeued = True
     return requeued
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/runends.py
@@ -0,0 +1,161 @@
+"""Apply the ends of runs to the owner's table of jobs and runs."""
+
+from cyclamenshelf_core import taskjobs
+from cyclamenshelf_core import taskprogress
+from cyclamenshelf_core import workerspeeds
+from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon.tasks import fleet
+from cyclamenshelf_daemon.tasks import ledger as ledgers
+from cyclamenshelf_daemon.tasks import ports
+
+
+def apply_end(
+    ledger: ledgers.Ledger,
+    worker: fleet.Worker,
+    end: ports.EndedTask,
+    now_ms: int,
+    wall_ms: int,
+) -> None:
+    """Apply the end of a run that a worker lists."""
+    worker.orphans.pop((end.name, end.run), None)
+    task = taskjobs.parse_task(end.name)
+    entry = ledger.jobs.get(task.group.job_id) if task else None
+    if task is None or entry is None or ledgers.get_step(entry, task) is None:
+        return
+    run = ledger.runs.get(task)
+    if run is not None and (
+        run.number == end.run and run.worker_id == worker.info.id
+    ):
+        ledgers.remove_run(ledger, run)
+        if end.kind is ports.EndKind.DONE:
+            _record_run_time(ledger, entry, run, now_ms)
+        else:
+            ledgers.stop_other_members(ledger, run, f"member_{end.kind}")
+    logs.log_event(
+        "task_ended",
+        task=end.name,
+        run=end.run,
+        worker=worker.info.id,
+        kind=end.kind,
+        number=end.number,
+    )
+    if entry.progress.state not in taskprogress.ENDED:
+        _apply_to_job(ledger, worker, entry, task, end, now_ms, wall_ms)
+
+
+def _record_run_time(
+    ledger: ledgers.Ledger,
+    entry: ledgers.JobEntry,
+    run: ledgers.Run,
+    now_ms: int,
+) -> None:
+    """Record the run time of a task that is comparable with its group's.
+
+    A member of a gang waits for the slowest one, a task off the rack of its
+    data is slow anywhere, and a resumed task did only part of its work.
+    """
+    step = entry.job.steps[run.task.group.step]
+    if step.gang or step.data_rack or step.long_running:
+        return
+    if entry.progress.state in taskprogress.ENDED:
+        return
+    if run.task in entry.progress.checkpoints:
+        return
+    workerspeeds.record_run(
+        ledger.speeds, run.task.group, run.worker_id, now_ms - run.since_ms
+    )
+
+
+def _apply_to_job(
+    ledger: ledgers.Ledger,
+    worker: fleet.Worker,
+    entry: ledgers.JobEntry,
+    task: taskjobs.Task,
+    end: ports.EndedTask,
+    now_ms: int,
+    wall_ms: int,
+) -> None:
+    step = entry.job.steps[task.group.step]
+    recorded_task = taskprogress.get_representative(entry.job, task)
+    if end.kind is ports.EndKind.DONE:
+        fleet.record_success(worker)
+        if not step.long_running:
+            _mark_done(ledger, entry, task, wall_ms)
+        return
+    if step.checkpointable and end.checkpoint:
+        saved = entry.progress.checkpoints.get(recorded_task, "")
+        if end.checkpoint > saved:
+            entry.progress.checkpoints[recorded_task] = end.checkpoint
+            entry.dirty = True
+    if end.kind is not ports.EndKind.FAILED:
+        return
+    if fleet.record_failure(worker, entry.job.id, now_ms):
+        logs.log_event(
+            "worker_quarantined",
+            "WARNING",
+            worker=worker.info.id,
+            until_ms=worker.quarantined_until_ms,
+        )
+    if step.long_running:
+        return
+    failed = entry.progress.failed_runs.setdefault(recorded_task, set())
+    failed.add(end.run)
+    entry.dirty = True
+    if len(failed) >= entry.job.max_attempts:
+        ledgers.end_job(
+            ledger,
+            entry,
+            taskprogress.State.FAILED,
+            wall_ms,
+            f"{end.name} failed {len(failed)} times",
+        )
+
+
+def _mark_done(
+    ledger: ledgers.Ledger,
+    entry: ledgers.JobEntry,
+    task: taskjobs.Task,
+    wall_ms: int,
+) -> None:
+    step = entry.job.steps[task.group.step]
+    done = entry.progress.done.setdefault(task.group, set())
+    # A gang is done as soon as one of its members is.
+    done.update(range(step.tasks) if step.gang else (task.index,))
+    recorded_task = taskprogress.get_representative(entry.job, task)
+    entry.progress.checkpoints.pop(recorded_task, None)
+    entry.progress.failed_runs.pop(recorded_task, None)
+    entry.dirty = True
+    run = ledger.runs.get(task)
+    if run is not None and not step.gang:
+        ledgers.stop_run(ledger, run, "done_elsewhere")
+    if taskprogress.is_job_done(entry.progress, entry.job):
+        ledgers.end_job(
+            ledger,
+            entry,
+            taskprogress.State.COMPLETED,
+            wall_ms,
+            "all_tasks_done",
+        )
+
+
+def requeue_run(
+    ledger: ledgers.Ledger, run: ledgers.Run, now_ms: int, reason: str
+) -> None:
+    """Remove a run that has terminated without a listed end."""
+    entry = ledger.jobs[run.task.group.job_id]
+    step = entry.job.steps[run.task.group.step]
+    if step.checkpointable and run.checkpoint:
+        recorded_task = taskprogress.get_representative(entry.job, run.task)
+        saved = entry.progress.checkpoints.get(recorded_task, "")
+        entry.progress.checkpoints[recorded_task] = max(saved, run.checkpoint)
+    ledgers.remove_run(ledger, run)
+    ledgers.stop_other_members(ledger, run, f"member_{reason}")
+    logs.log_event(
+        "task_requeued",
+        task=taskjobs.format_task(run.task),
+        run=run.number,
+        worker=run.worker_id,
+        phase=run.phase.name,
+        age_ms=now_ms - run.since_ms,
+        reason=reason,
+    )
--- a/testing/daemon/tasks/test_planning.py
+++ b/testing/daemon/tasks/test_planning.py
@@ -11,6 +11,7 @@
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import planning
 from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks import runends
 
 NOW_MS = 100_000
 
@@ -64,7 +65,7 @@
         ports.EndKind.DONE,
         "",
     )
-    ledgers.apply_end(ledger, worker, end, NOW_MS, NOW_MS)
+    runends.apply_end(ledger, worker, end, NOW_MS, NOW_MS)
 
 
 def make_worker(worker_id):
