--- a/benchmarks/taskreplay.py
+++ b/benchmarks/taskreplay.py
@@ -18,9 +18,9 @@
 import heapq
 import itertools
 import random
-from typing import NamedTuple
 
 from benchmarks import taskloads
+from benchmarks import taskoutcomes
 import docopt
 import loguru
 
@@ -37,7 +37,6 @@
 
 # Jobs that have not ended this long after the last arrival count as not served.
 _FINISH_MS = 15_000
-_LATE_FACTOR = 3
 _START_DELAYS_MS = (40, 200)
 _STOP_DELAYS_MS = (100, 800)
 _REPORT_DELAY_MS = 100
@@ -49,39 +48,6 @@
 _CORES_PER_ACCELERATOR = 8
 
 
-class KindResult(NamedTuple):
-    """Outcome of the jobs of a kind.
-
-    Attributes:
-        worth: Earned share of the worth of all these jobs.
-        wait_p90_ms: 90th percentile of the time to the first start.
-    """
-
-    jobs: int
-    in_time: int
-    late: int
-    unserved: int
-    worth: float
-    wait_p90_ms: int
-
-
-class Result(NamedTuple):
-    """Outcome of a replay.
-
-    Attributes:
-        stopped_for: Number of groups for which tasks were stopped.
-        lost_core_s: Core-seconds of work that stops lost.
-        used_core_s: Core-seconds of all work.
-    """
-
-    kinds: dict[str, KindResult]
-    worth: float
-    stops: int
-    stopped_for: int
-    lost_core_s: float
-    used_core_s: float
-
-
 class _Execution:
     """A run on a simulated worker.
 
@@ -148,7 +114,7 @@
         self.used_core_ms = 0.0
 
 
-def replay(load: taskloads.Load, seed: int) -> Result:
+def replay(load: taskloads.Load, seed: int) -> taskoutcomes.Result:
     """Play a load and return what the callers got."""
     state = _Replay(load, seed)
     for arrival in state.arrivals:
@@ -347,29 +313,18 @@
     _send_stops(state)
 
 
-def _summarize(state: _Replay) -> Result:
-    kinds: dict[str, KindResult] = {}
-    earned = owed = 0.0
-    for kind in state.load.kinds:
-        arrivals = [a for a in state.arrivals if a.kind.name == kind.name]
-        outcomes = [_rate_job(state, arrival) for arrival in arrivals]
-        worth = sum(a.worth for a in arrivals)
-        kind_earned = sum(
-            a.worth * (1.0, kind.late_share, 0.0)[outcome]
-            for a, outcome in zip(arrivals, outcomes, strict=True)
-        )
-        earned, owed = earned + kind_earned, owed + worth
-        kinds[kind.name] = KindResult(
-            len(arrivals),
-            outcomes.count(0),
-            outcomes.count(1),
-            outcomes.count(2),
-            kind_earned / max(worth, 1e-9),
-            _get_wait_p90_ms(state, arrivals),
+def _summarize(state: _Replay) -> taskoutcomes.Result:
+    times = {
+        job_id: taskoutcomes.JobTimes(
+            state.started_ms.get(job_id), _get_completed_ms(state, job_id)
         )
-    return Result(
-        kinds,
-        earned / owed,
+        for job_id in state.by_job
+    }
+    return taskoutcomes.Result(
+        taskoutcomes.summarize_kinds(
+            state.load, state.arrivals, times, state.now_ms
+        ),
+        taskoutcomes.compute_worth(state.arrivals, times),
         state.stops,
         len(state.beneficiaries),
         state.lost_core_ms / 1000,
@@ -377,29 +332,13 @@
     )
 
 
-def _get_wait_p90_ms(state: _Replay, arrivals: list[taskloads.Arrival]) -> int:
-    waits_ms = sorted(
-        state.started_ms.get(arrival.job.id, state.now_ms) - arrival.at_ms
-        for arrival in arrivals
-    )
-    return waits_ms[int(0.9 * (len(waits_ms) - 1))]
-
-
-def _rate_job(state: _Replay, arrival: taskloads.Arrival) -> int:
-    """Return 0 for a job that ended in time, 1 if late, 2 if not served."""
-    entry = state.ledger.jobs.get(arrival.job.id)
+def _get_completed_ms(state: _Replay, job_id: str) -> int | None:
+    entry = state.ledger.jobs.get(job_id)
     if entry is None or entry.progress.state is not (
         taskprogress.State.COMPLETED
     ):
-        return 2
-    path_ms = sum(max(step_ms) for step_ms in arrival.run_ms)
-    objective_ms = (
-        arrival.kind.slowdown_factor * path_ms + arrival.kind.target_latency_ms
-    )
-    taken_ms = state.ended_ms[arrival.job.id] - arrival.at_ms
-    if taken_ms <= objective_ms:
-        return 0
-    return 1 if taken_ms <= _LATE_FACTOR * objective_ms else 2
+        return None
+    return state.ended_ms[job_id]
 
 
 def main() -> None:
@@ -410,22 +349,9 @@
         if arguments["--load"] not in (None, name):
             continue
         for seed in range(1, int(arguments["--seeds"]) + 1):
-            _print_result(name, seed, replay(load, seed))
-
-
-def _print_result(name: str, seed: int, result: Result) -> None:
-    kinds = " ".join(
-        f"{kind}={entry.worth:.3f}({entry.in_time}/{entry.late}"
-        f"/{entry.unserved},{entry.wait_p90_ms}ms)"
-        for kind, entry in result.kinds.items()
-    )
-    lost = result.lost_core_s / max(result.used_core_s, 1e-9)
-    print(
-        f"load={name} seed={seed} worth={result.worth:.3f} {kinds} "
-        f"stops={result.stops} stopped_for={result.stopped_for} "
-        f"lost={lost:.3f}",
-        flush=True,
-    )
+            result = replay(load, seed)
+            line = taskoutcomes.format_result(name, seed, result)
+            print(line, flush=True)
 
 
 if __name__ == "__main__":
