--- a/packages/core/src/cyclamenshelf_core/taskvictims.py
+++ b/packages/core/src/cyclamenshelf_core/taskvictims.py
@@ -214,9 +214,14 @@
     return (-held.priority, _estimate_lost_work(victims, held), held.task)
 
 
-def _estimate_lost_work(victims: VictimIndex, held: Allocation) -> float:
-    """Return the core-milliseconds of work that a stop loses."""
-    member_count = len(victims.by_group[held.task.group]) if held.gang else 1
+def compute_lost_core_ms(held: Allocation) -> float:
+    """Return the core-milliseconds of its own work that a stop loses."""
     cores = held.need.cpu_millis / 1000
     cores += held.need.accelerators * _CORES_PER_ACCELERATOR
-    return held.lost_work_ms * cores * member_count
+    return held.lost_work_ms * cores
+
+
+def _estimate_lost_work(victims: VictimIndex, held: Allocation) -> float:
+    """Return the core-milliseconds of work that a stop loses, gang included."""
+    member_count = len(victims.by_group[held.task.group]) if held.gang else 1
+    return compute_lost_core_ms(held) * member_count
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -8,6 +8,7 @@
 from cyclamenshelf_core import clock as clocks
 from cyclamenshelf_daemon import httpclient
 from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon import metrics
 from cyclamenshelf_daemon.tasks import calltimes
 from cyclamenshelf_daemon.tasks import following
 from cyclamenshelf_daemon.tasks import jobstates
@@ -46,6 +47,7 @@
         decode_worker: See `ownerstate.OwnerContext`.
         lease_ms: Duration of the leases of workers.
         keep_ended_ms: How long the rows of ended jobs are kept.
+        registry: Keeps the host's metrics.
         advise: See `ownerstate.OwnerContext`.
     """
 
@@ -63,6 +65,7 @@
     decode_worker: Callable[[ports.Row], ports.WorkerInfo | None]
     lease_ms: int
     keep_ended_ms: int
+    registry: metrics.Metrics
     advise: ports.Advise | None = None
 
 
@@ -102,6 +105,7 @@
         lambda: cached_lists.lists,
         context.lease_ms,
         context.keep_ended_ms,
+        context.registry,
         context.advise,
     )
     owner_thread = ownership.start_lease_thread(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -67,7 +67,8 @@
         dirty: Whether its progress has to be written.
         has_queued_row: Whether its row in the table of queued jobs exists.
         not_before_ms: Monotonic time before which a group is not started.
-        preempting: Groups that wait for tasks that were stopped for them.
+        preempting: Groups that wait for tasks that were stopped for them,
+            with the monotonic time of the first stop.
     """
 
     def __init__(
@@ -86,7 +87,7 @@
             progress.state is taskprogress.State.QUEUED and not progress.timed
         )
         self.not_before_ms: dict[taskjobs.Group, int] = {}
-        self.preempting: set[taskjobs.Group] = set()
+        self.preempting: dict[taskjobs.Group, int] = {}
 
 
 class Ledger:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -25,6 +25,7 @@
 from cyclamenshelf_daemon.tasks import ownerstate
 from cyclamenshelf_daemon.tasks import ownerworkers
 from cyclamenshelf_daemon.tasks import planning
+from cyclamenshelf_daemon.tasks import stopmetrics
 from cyclamenshelf_daemon.tasks import writer
 
 _TICK_MS = 200
@@ -215,14 +216,18 @@
     if not waiting:
         return
     planning.record_urgent_demand(owner.ledger, waiting, times.now_ms)
+    held = planning.list_allocations(owner.ledger, lists, times.now_ms)
     decision = taskplan.plan(
         waiting,
-        planning.list_allocations(owner.ledger, lists, times.now_ms),
+        held,
         capacities,
         owner.ledger.step_counts,
         urgentdemand.compute_headroom(owner.ledger.urgent_demand, times.now_ms),
     )
-    planning.record_preempting_groups(owner.ledger, decision)
+    stopmetrics.record_plan(
+        owner.context.registry, owner.ledger, decision, held, times.now_ms
+    )
+    planning.record_preempting_groups(owner.ledger, decision, times.now_ms)
     owneradvice.request_advice(
         owner, waiting, set(decision.blocked), capacities
     )
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_daemon import metrics
 from cyclamenshelf_daemon.tasks import advice
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import following
@@ -34,6 +35,7 @@
         get_lists: Returns the lists in force.
         lease_ms: Length of the leases of workers.
         keep_ended_ms: How long the rows of ended jobs are kept.
+        registry: Keeps the owner's metrics.
         advise: Requests which workers may run a step; None without a
             recommendation service.
     """
@@ -46,6 +48,7 @@
     get_lists: Callable[[], queues.Lists]
     lease_ms: int
     keep_ended_ms: int
+    registry: metrics.Metrics
     advise: ports.Advise | None = None
 
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -66,16 +66,16 @@
 
 
 def record_preempting_groups(
-    ledger: ledgers.Ledger, plan: taskplan.Plan
+    ledger: ledgers.Ledger, plan: taskplan.Plan, now_ms: int
 ) -> None:
     """Record which groups wait for tasks that a plan stops for them."""
     blocked = set(plan.blocked)
     for start in plan.starts:
         if start.group not in blocked:
-            ledger.jobs[start.group.job_id].preempting.discard(start.group)
+            ledger.jobs[start.group.job_id].preempting.pop(start.group, None)
     for stop in plan.stops:
         group = stop.beneficiary
-        ledger.jobs[group.job_id].preempting.add(group)
+        ledger.jobs[group.job_id].preempting.setdefault(group, now_ms)
 
 
 def list_allocations(
--- a/testing/daemon/tasks/conftest.py
+++ b/testing/daemon/tasks/conftest.py
@@ -11,6 +11,7 @@
 from cyclamenshelf_core import clock as clocks
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
+from cyclamenshelf_daemon import metrics
 from cyclamenshelf_daemon.tasks import jobstates
 from cyclamenshelf_daemon.tasks import owner as owners
 from cyclamenshelf_daemon.tasks import ownership
@@ -44,6 +45,7 @@
         self.fake_store = fakestore.FakeStore()
         self.lists = LISTS
         self.advise = None
+        self.registry = metrics.Metrics()
         self.infos_by_value = {}
         self.workers = [
             fakefleet.FakeWorker("w0"),
@@ -83,6 +85,7 @@
             lambda: self.lists,
             lease_ms,
             60_000,
+            self.registry,
             self.advise,
         )
         self.tenures.append(tenure)
--- a/testing/daemon/tasks/test_planning.py
+++ b/testing/daemon/tasks/test_planning.py
@@ -122,14 +122,16 @@
     assert not is_preempting()
     stops = [taskplan.Stop(other, group)]
     planning.record_preempting_groups(
-        ledger, taskplan.Plan([start], stops, [group])
+        ledger, taskplan.Plan([start], stops, [group]), NOW_MS
     )
     assert is_preempting()
     planning.record_preempting_groups(
-        ledger, taskplan.Plan([start], [], [group])
+        ledger, taskplan.Plan([start], [], [group]), NOW_MS
     )
     assert is_preempting()
-    planning.record_preempting_groups(ledger, taskplan.Plan([start], [], []))
+    planning.record_preempting_groups(
+        ledger, taskplan.Plan([start], [], []), NOW_MS
+    )
     assert not is_preempting()
 
 
