--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -12,9 +12,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from cyclamenshelf_core import freecapacity
 from cyclamenshelf_core import taskjobs
-from cyclamenshelf_core import taskspace
-from cyclamenshelf_core import taskvictims
+from cyclamenshelf_core import victimcosts
 from cyclamenshelf_core import victimsearch
 
 # How many blocked gangs below priority 0 get capacity reserved per decision.
@@ -104,11 +104,11 @@
 
     def __init__(
         self,
-        workers: dict[str, taskspace.CandidateWorker],
-        held: list[taskvictims.Allocation],
+        workers: dict[str, freecapacity.CandidateWorker],
+        held: list[victimcosts.Allocation],
         counts: dict[tuple[str, int, str], int],
     ) -> None:
-        self.capacity = taskspace.FreeCapacity(workers, counts)
+        self.capacity = freecapacity.FreeCapacity(workers, counts)
         for allocation in held:
             if allocation.fills:
                 self.capacity.best_effort_workers.add(allocation.worker_id)
@@ -116,7 +116,7 @@
                 self.capacity.latency_sensitive_workers.add(
                     allocation.worker_id
                 )
-        self.victims = taskvictims.VictimIndex(held)
+        self.victims = victimcosts.VictimIndex(held)
         self.starts: list[Start] = []
         self.stops: list[Stop] = []
         self.blocked: list[taskjobs.Group] = []
@@ -132,8 +132,8 @@
 
 def plan(
     waiting: list[WaitingGroup],
-    held: list[taskvictims.Allocation],
-    workers: dict[str, taskspace.CandidateWorker],
+    held: list[victimcosts.Allocation],
+    workers: dict[str, freecapacity.CandidateWorker],
     counts: dict[tuple[str, int, str], int],
     urgent_headroom: dict[str, int],
 ) -> Plan:
@@ -223,7 +223,7 @@
     if entry.slack_ms < 0:
         return True
     if step.gang and step.same_rack:
-        slots = taskspace.count_slots_of_largest_rack(
+        slots = freecapacity.count_slots_of_largest_rack(
             state.capacity, entry.job, step
         )
         if slots < len(entry.indexes):
@@ -232,7 +232,7 @@
         return False
     return not any(
         step.data_rack == worker.rack
-        and taskspace.is_eligible(worker, entry.job, step)
+        and freecapacity.is_eligible(worker, entry.job, step)
         for worker in state.capacity.workers.values()
     )
 
@@ -263,7 +263,7 @@
         state,
         _make_query(
             entry,
-            taskspace.list_fitting(state.capacity, entry.job, step),
+            freecapacity.list_fitting(state.capacity, entry.job, step),
             state.capacity.free.__getitem__,
         ),
         allow_remote,
@@ -283,11 +283,11 @@
     capacity, step = state.capacity, entry.job.steps[entry.group.step]
     candidates = {
         worker.id: worker
-        for worker in taskspace.list_fitting(capacity, entry.job, step)
+        for worker in freecapacity.list_fitting(capacity, entry.job, step)
     }
     for worker_id in state.victims.releasing:
         worker = capacity.workers.get(worker_id)
-        if worker and taskspace.is_eligible(worker, entry.job, step):
+        if worker and freecapacity.is_eligible(worker, entry.job, step):
             candidates[worker_id] = worker
     return _search_workers(
         state,
@@ -298,11 +298,11 @@
 
 def _make_query(
     entry: WaitingGroup,
-    candidates: list[taskspace.CandidateWorker],
+    candidates: list[freecapacity.CandidateWorker],
     get_available: Callable[[str], taskjobs.Resources],
     allow_remote: bool = False,
-) -> taskspace.Query:
-    return taskspace.Query(
+) -> freecapacity.Query:
+    return freecapacity.Query(
         entry.job,
         entry.group.step,
         len(entry.indexes),
@@ -314,12 +314,12 @@
 
 
 def _search_workers(
-    state: _PlanningState, query: taskspace.Query, allow_remote: bool
+    state: _PlanningState, query: freecapacity.Query, allow_remote: bool
 ) -> list[str]:
     """Return a worker for each task, off the rack of the data if necessary."""
-    found = taskspace.find_workers(state.capacity, query)
+    found = freecapacity.find_workers(state.capacity, query)
     if len(found) < query.tasks and allow_remote:
-        remote = taskspace.find_workers(
+        remote = freecapacity.find_workers(
             state.capacity, query._replace(allow_remote=True)
         )
         found = max(found, remote, key=len)
@@ -340,9 +340,9 @@
     state: _PlanningState, entry: WaitingGroup, placed: list[str]
 ) -> None:
     step = entry.job.steps[entry.group.step]
-    taskspace.record_placed(state.capacity, step, placed)
+    freecapacity.record_placed(state.capacity, step, placed)
     for worker_id in placed:
-        taskspace.allocate(
+        freecapacity.allocate(
             state.capacity,
             worker_id,
             step.need,
@@ -379,7 +379,7 @@
     No task is stopped for a gang that would not fit as a whole even then.
     """
     step = entry.job.steps[entry.group.step]
-    preemptor = taskvictims.Preemptor(entry.job.priority, entry.guaranteed)
+    preemptor = victimcosts.Preemptor(entry.job.priority, entry.guaranteed)
 
     def get_available(worker_id: str) -> taskjobs.Resources:
         return taskjobs.add(
@@ -393,11 +393,11 @@
             worker_id, soon_free, step.need, preemptor
         )
 
-    slots = taskspace.list_slots(
+    slots = freecapacity.list_slots(
         state.capacity,
         _make_query(
             entry,
-            taskspace.list_eligible(state.capacity, entry.job, step),
+            freecapacity.list_eligible(state.capacity, entry.job, step),
             get_available,
             allow_remote,
         ),
@@ -436,7 +436,9 @@
             for held in state.victims.by_worker.get(worker.id, ())
             if held.fills
         ]
-        for worker in taskspace.list_eligible(state.capacity, entry.job, step)
+        for worker in freecapacity.list_eligible(
+            state.capacity, entry.job, step
+        )
     }
     for worker_id in sorted(fills, key=lambda name: (len(fills[name]), name)):
         available = state.get_soon_free(worker_id)
--- a/packages/core/src/cyclamenshelf_core/victimsearch.py
+++ b/packages/core/src/cyclamenshelf_core/victimsearch.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from cyclamenshelf_core import taskjobs
-from cyclamenshelf_core import taskvictims
+from cyclamenshelf_core import victimcosts
 
 # How much more stops may cost on other workers before a slow one is used.
 _SLOW_COST_FACTOR = 2
@@ -45,7 +45,7 @@
 
     need: taskjobs.Resources
     tasks: int
-    preemptor: taskvictims.Preemptor
+    preemptor: victimcosts.Preemptor
     data_rack: str
 
 
@@ -59,7 +59,7 @@
 
     def __init__(
         self,
-        victims: taskvictims.VictimIndex,
+        victims: victimcosts.VictimIndex,
         request: Request,
         candidates: dict[str, Candidate],
     ) -> None:
@@ -75,10 +75,10 @@
 
 
 def choose_victims(
-    victims: taskvictims.VictimIndex,
+    victims: victimcosts.VictimIndex,
     request: Request,
     candidates: dict[str, Candidate],
-) -> list[taskvictims.Allocation]:
+) -> list[victimcosts.Allocation]:
     """Choose the tasks to stop for a group, and mark them.
 
     Args:
@@ -90,7 +90,7 @@
         The tasks to stop. Members of a gang may run on other workers.
     """
     search = _Search(victims, request, candidates)
-    stops: list[taskvictims.Allocation] = []
+    stops: list[victimcosts.Allocation] = []
     queue = [_make_entry(search, name) for name in candidates]
     heapq.heapify(queue)
     missing = request.tasks
@@ -133,10 +133,10 @@
 
 def _place_task(
     search: _Search, name: str, queue: list[tuple[tuple, str]]
-) -> list[taskvictims.Allocation]:
+) -> list[victimcosts.Allocation]:
     """Place one task on a worker; return the tasks to stop for it."""
     request = search.request
-    stops = taskvictims.choose_cheapest(
+    stops = victimcosts.choose_cheapest(
         search.victims,
         name,
         search.available[name],
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/commands.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/commands.py
@@ -4,9 +4,9 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon.tasks import cachedlists
 from cyclamenshelf_daemon.tasks import host as hosts
 from cyclamenshelf_daemon.tasks import jobstates
-from cyclamenshelf_daemon.tasks import knownlists
 from cyclamenshelf_daemon.tasks import submission
 
 _RETRY_MS = 1_000
@@ -27,11 +27,11 @@
     """
     cached_lists = host.cached_lists
     admission = submission.admit(cached_lists.lists, caller)
-    age_ms = knownlists.get_age_ms(cached_lists)
+    age_ms = cachedlists.get_age_ms(cached_lists)
     current = age_ms is not None and age_ms < hosts.MAX_LISTS_AGE_MS
     if isinstance(admission, submission.SubmissionOutcome) or not current:
         # A call must not be rejected by lists that have since been replaced.
-        if not knownlists.confirm(cached_lists, knownlists.FRESH_MS):
+        if not cachedlists.confirm(cached_lists, cachedlists.FRESH_MS):
             raise errors.ConfigurationUnconfirmedError(
                 "the lists could not be confirmed", retry_after_ms=_RETRY_MS
             )
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
@@ -3,8 +3,8 @@
 import threading
 
 from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_core import freecapacity
 from cyclamenshelf_core import taskjobs
-from cyclamenshelf_core import taskspace
 from cyclamenshelf_daemon.tasks import ports
 
 # Slowest rate at which a worker's clock may run.
@@ -171,7 +171,7 @@
 
 def get_free_capacity(
     worker: Worker, held: taskjobs.Resources, slow: bool
-) -> taskspace.CandidateWorker:
+) -> freecapacity.CandidateWorker:
     """Return the capacity of a worker that is not allocated to tasks.
 
     Args:
@@ -183,7 +183,7 @@
     free = taskjobs.subtract(info.capacity, held)
     for need in worker.orphans.values():
         free = taskjobs.subtract(free, need)
-    return taskspace.CandidateWorker(
+    return freecapacity.CandidateWorker(
         info.id,
         info.rack,
         info.labels,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -9,10 +9,10 @@
 from cyclamenshelf_daemon import httpclient
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import metrics
-from cyclamenshelf_daemon.tasks import calltimes
+from cyclamenshelf_daemon.tasks import adaptivetimeout
+from cyclamenshelf_daemon.tasks import cachedlists
 from cyclamenshelf_daemon.tasks import following
 from cyclamenshelf_daemon.tasks import jobstates
-from cyclamenshelf_daemon.tasks import knownlists
 from cyclamenshelf_daemon.tasks import members as memberships
 from cyclamenshelf_daemon.tasks import owner as owners
 from cyclamenshelf_daemon.tasks import ownership
@@ -77,7 +77,7 @@
         stopping: Set to stop its threads and release its ownership.
     """
 
-    cached_lists: knownlists.CachedLists
+    cached_lists: cachedlists.CachedLists
     state_cache: jobstates.JobStateCache
     submission_context: submission.SubmissionContext
     owner_thread: threading.Thread
@@ -90,7 +90,7 @@
     """Start the threads of a host; return the host."""
     store, clock = context.store, context.clock
     stopping = threading.Event()
-    cached_lists = knownlists.CachedLists(
+    cached_lists = cachedlists.CachedLists(
         context.lists_key, context.decode_lists, store, clock
     )
     following.start_following(
@@ -130,7 +130,7 @@
         cached_lists,
         jobstates.JobStateCache(),
         submission.SubmissionContext(
-            store, cached_lists, clock, calltimes.AdaptiveTimeout()
+            store, cached_lists, clock, adaptivetimeout.AdaptiveTimeout()
         ),
         owner_thread,
         relays.Relay(
@@ -147,7 +147,7 @@
 
 def is_ready(host: Host) -> bool:
     """Return whether the host is ready for new callers."""
-    age_ms = knownlists.get_age_ms(host.cached_lists)
+    age_ms = cachedlists.get_age_ms(host.cached_lists)
     return (
         not host.leaving.is_set()
         and host.cached_lists.lists.row_version > 0
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owneradvice.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owneradvice.py
@@ -1,8 +1,8 @@
 """Use of the recommendation service in the owner's decisions."""
 
+from cyclamenshelf_core import freecapacity
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskplan
-from cyclamenshelf_core import taskspace
 from cyclamenshelf_daemon.tasks import advice
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import ownerstate
@@ -68,7 +68,7 @@
     owner: ownerstate.Owner,
     waiting: list[taskplan.WaitingGroup],
     blocked: set[taskjobs.Group],
-    capacities: dict[str, taskspace.CandidateWorker],
+    capacities: dict[str, freecapacity.CandidateWorker],
 ) -> None:
     """Request advice for the blocked groups that need tickets."""
     if owner.context.advise is None:
@@ -93,7 +93,7 @@
 
 def _rank_workers(
     entry: taskplan.WaitingGroup,
-    capacities: dict[str, taskspace.CandidateWorker],
+    capacities: dict[str, freecapacity.CandidateWorker],
 ) -> list[str]:
     """Return the workers to request tickets for, best candidates first.
 
@@ -103,7 +103,7 @@
     possible = [
         capacity
         for capacity in capacities.values()
-        if taskspace.is_eligible(capacity, entry.job, step)
+        if freecapacity.is_eligible(capacity, entry.job, step)
     ]
     possible.sort(
         key=lambda capacity: (
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -4,12 +4,12 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from cyclamenshelf_core import freecapacity
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskplan
 from cyclamenshelf_core import taskprogress
-from cyclamenshelf_core import taskspace
-from cyclamenshelf_core import taskvictims
 from cyclamenshelf_core import urgentdemand
+from cyclamenshelf_core import victimcosts
 from cyclamenshelf_core import workerspeeds
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
@@ -80,10 +80,10 @@
 
 def list_allocations(
     ledger: ledgers.Ledger, lists: queues.Lists, now_ms: int
-) -> list[taskvictims.Allocation]:
+) -> list[victimcosts.Allocation]:
     """Return every run that has resources allocated."""
     guaranteed_jobs = list_guaranteed_jobs(ledger, lists)
-    held: list[taskvictims.Allocation] = []
+    held: list[victimcosts.Allocation] = []
     for group, runs in ledger.by_group.items():
         job = ledger.jobs[group.job_id].job
         step = job.steps[group.step]
@@ -92,7 +92,7 @@
         max_lost_ms = _RESTORE_MS if step.checkpointable else now_ms
         for run in runs.values():
             held.append(
-                taskvictims.Allocation(
+                victimcosts.Allocation(
                     run.task,
                     run.worker_id,
                     step.need,
@@ -111,7 +111,7 @@
 
 def list_free_capacity(
     ledger: ledgers.Ledger, workers: Iterable[fleet.Worker], now_ms: int
-) -> dict[str, taskspace.CandidateWorker]:
+) -> dict[str, freecapacity.CandidateWorker]:
     """Return the workers that may be given tasks, with their free capacity."""
     return {
         worker.info.id: fleet.get_free_capacity(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/relay.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/relay.py
@@ -18,7 +18,7 @@
 from cyclamenshelf_daemon import httpclient
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import webserver
-from cyclamenshelf_daemon.tasks import knownlists
+from cyclamenshelf_daemon.tasks import cachedlists
 from cyclamenshelf_daemon.tasks import members as memberships
 
 # Lists older than this were not confirmed at the end of the last wait for
@@ -52,7 +52,7 @@
     """What relaying calls needs."""
 
     members: memberships.Members
-    cached_lists: knownlists.CachedLists
+    cached_lists: cachedlists.CachedLists
     pool: urllib3.PoolManager
     clock: clocks.Clock
     generator: random.Random
@@ -147,7 +147,7 @@
 
 def is_store_unreachable(relay: Relay) -> bool:
     """Return whether the store seems to be unreachable from this host."""
-    age_ms = knownlists.get_age_ms(relay.cached_lists)
+    age_ms = cachedlists.get_age_ms(relay.cached_lists)
     return age_ms is None or age_ms > _UNREACHABLE_AGE_MS
 
 
@@ -217,5 +217,5 @@
         path=request.path,
         peer=peer.name,
         outcome=outcome,
-        lists_age_ms=knownlists.get_age_ms(relay.cached_lists),
+        lists_age_ms=cachedlists.get_age_ms(relay.cached_lists),
     )
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/stopmetrics.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/stopmetrics.py
@@ -1,7 +1,7 @@
 """Metrics of what stopping tasks for other groups costs and gains."""
 
 from cyclamenshelf_core import taskplan
-from cyclamenshelf_core import taskvictims
+from cyclamenshelf_core import victimcosts
 from cyclamenshelf_daemon import metrics
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 
@@ -10,7 +10,7 @@
     registry: metrics.Metrics,
     ledger: ledgers.Ledger,
     plan: taskplan.Plan,
-    held: list[taskvictims.Allocation],
+    held: list[victimcosts.Allocation],
     now_ms: int,
 ) -> None:
     """Count the stops of a plan and the starts for which others were stopped.
@@ -37,11 +37,11 @@
 def _count_stops(
     registry: metrics.Metrics,
     stops: list[taskplan.Stop],
-    held: list[taskvictims.Allocation],
+    held: list[victimcosts.Allocation],
 ) -> None:
     tasks = {stop.task for stop in stops}
     lost_core_ms = sum(
-        taskvictims.compute_lost_core_ms(allocation)
+        victimcosts.compute_lost_core_ms(allocation)
         for allocation in held
         if allocation.task in tasks
     )
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/submission.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/submission.py
@@ -8,9 +8,9 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_daemon import logs
-from cyclamenshelf_daemon.tasks import calltimes
+from cyclamenshelf_daemon.tasks import adaptivetimeout
+from cyclamenshelf_daemon.tasks import cachedlists
 from cyclamenshelf_daemon.tasks import jobstates
-from cyclamenshelf_daemon.tasks import knownlists
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import queues
 
@@ -41,9 +41,9 @@
     """
 
     store: ports.Store
-    cached_lists: knownlists.CachedLists
+    cached_lists: cachedlists.CachedLists
     clock: clocks.Clock
-    write_timeout: calltimes.AdaptiveTimeout
+    write_timeout: adaptivetimeout.AdaptiveTimeout
 
 
 class Caller(NamedTuple):
@@ -167,7 +167,7 @@
                 return SubmissionOutcome.ALREADY_STORED
             # The lists have changed, so no earlier attempt can still succeed.
             outcome_unknown = False
-            knownlists.confirm(context.cached_lists, 0)
+            cachedlists.confirm(context.cached_lists, 0)
             continue
         except errors.OutcomeUnknownError:
             outcome_unknown = True
@@ -223,9 +223,9 @@
     try:
         version = context.store.commit(transaction, timeout_ms)
     except errors.OutcomeUnknownError:
-        calltimes.record_timeout(context.write_timeout)
+        adaptivetimeout.record_timeout(context.write_timeout)
         raise
-    calltimes.record_response(
+    adaptivetimeout.record_response(
         context.write_timeout, context.clock.now_ms() - sent_ms
     )
     return version
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/writer.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/writer.py
@@ -11,7 +11,7 @@
 from cyclamenshelf_core import errors
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import supervision
-from cyclamenshelf_daemon.tasks import calltimes
+from cyclamenshelf_daemon.tasks import adaptivetimeout
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import ownership
 from cyclamenshelf_daemon.tasks import ports
@@ -68,7 +68,7 @@
 
 def _run(context: WriterContext) -> None:
     generator = random.Random()
-    timeout = calltimes.AdaptiveTimeout()
+    timeout = adaptivetimeout.AdaptiveTimeout()
     while (batch := context.batches.get()) is not None:
         failures = 0
         versions = {key: row[0] for key, row in batch.rows.items()}
@@ -84,7 +84,7 @@
 
 def _write_once(
     context: WriterContext,
-    timeout: calltimes.AdaptiveTimeout,
+    timeout: adaptivetimeout.AdaptiveTimeout,
     batch: Batch,
     versions: dict[ports.RowKey, int],
 ) -> dict[ports.RowKey, int] | None:
@@ -114,7 +114,7 @@
         return None
     except errors.StoreError as error:
         if isinstance(error, errors.OutcomeUnknownError):
-            calltimes.record_timeout(timeout)
+            adaptivetimeout.record_timeout(timeout)
         logs.log_event(
             "progress_not_written",
             "WARNING",
@@ -122,5 +122,5 @@
             detail=error,
         )
         return None
-    calltimes.record_response(timeout, context.clock.now_ms() - sent_ms)
+    adaptivetimeout.record_response(timeout, context.clock.now_ms() - sent_ms)
     return {key: version for key in puts}
--- a/testing/core/taskbuilders.py
+++ b/testing/core/taskbuilders.py
@@ -1,9 +1,9 @@
 """Builders of jobs, workers and allocations for tests of the planner."""
 
+from cyclamenshelf_core import freecapacity
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskplan
-from cyclamenshelf_core import taskspace
-from cyclamenshelf_core import taskvictims
+from cyclamenshelf_core import victimcosts
 
 CAPACITY = taskjobs.Resources(32_000, 64_000, 8)
 
@@ -38,7 +38,7 @@
     for rack in range(racks):
         for number in range(per_rack):
             worker_id = f"w{rack}{number}"
-            workers_by_id[worker_id] = taskspace.CandidateWorker(
+            workers_by_id[worker_id] = freecapacity.CandidateWorker(
                 worker_id,
                 f"r{rack}",
                 frozenset({"a", f"r{rack}"}),
@@ -60,7 +60,7 @@
 
 
 def make_allocation(job, worker_id, index=0, step=0, **values):
-    held = taskvictims.Allocation(
+    held = victimcosts.Allocation(
         taskjobs.Task(taskjobs.Group(job.id, 0, step), index),
         worker_id,
         job.steps[step].need,
