--- a/benchmarks/taskreplay.py
+++ b/benchmarks/taskreplay.py
@@ -24,6 +24,7 @@
 import docopt
 import loguru
 
+from cyclamenshelf_core import planstate
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskplan
 from cyclamenshelf_core import taskprogress
@@ -194,7 +195,7 @@
     _send_stops(state)
 
 
-def _start(state: _Replay, start: taskplan.Start) -> None:
+def _start(state: _Replay, start: planstate.Start) -> None:
     number = ledgers.allocate_run_number(state.ledger)
     arrival = state.by_job[start.group.job_id]
     step = arrival.job.steps[start.group.step]
--- /dev/null
+++ b/packages/core/src/cyclamenshelf_core/planstate.py
@@ -0,0 +1,137 @@
+"""State of one decision of the task planner."""
+
+from typing import NamedTuple
+
+from cyclamenshelf_core import freecapacity
+from cyclamenshelf_core import taskjobs
+from cyclamenshelf_core import victimcosts
+
+
+class WaitingGroup(NamedTuple):
+    """A group with tasks that are ready to start.
+
+    Attributes:
+        indexes: Indexes of these tasks; for a gang, of all its tasks.
+        slack_ms: Slack: time left until a start would miss the objective;
+            negative if it already would.
+        guaranteed: Whether the account's guarantee covers the job.
+        allowed_workers: Workers that may run the tasks; None for any.
+        preempting: Whether tasks have been stopped for the group.
+    """
+
+    job: taskjobs.TaskJob
+    group: taskjobs.Group
+    indexes: tuple[int, ...]
+    slack_ms: int
+    guaranteed: bool
+    allowed_workers: frozenset[str] | None = None
+    preempting: bool = False
+
+
+class Start(NamedTuple):
+    """Tasks of a group to start; for a gang, all of its tasks.
+
+    Attributes:
+        placements: Index and worker of each task.
+    """
+
+    group: taskjobs.Group
+    placements: tuple[tuple[int, str], ...]
+
+
+class Stop(NamedTuple):
+    """A task to stop, to free capacity for the beneficiary."""
+
+    task: taskjobs.Task
+    beneficiary: taskjobs.Group
+
+
+class Shape(NamedTuple):
+    """The properties that decide where the tasks of a group can be placed."""
+
+    service: str
+    label: str
+    data_rack: str
+    need: taskjobs.Resources
+    gang: bool
+    same_rack: bool
+    allow_remote: bool
+    allowed_workers: frozenset[str] | None
+    fills: bool
+    latency_sensitive: bool
+
+
+class PlanningState:
+    """State of one decision.
+
+    Attributes:
+        capacity: Free capacity of the workers.
+        victims: All allocations, and the tasks chosen to be stopped.
+        gang_reservations: Number of blocked gangs below priority 0 for which
+            capacity was reserved.
+        unplaceable: By shape, the smallest number of tasks that could not be
+            placed. More cannot be placed later either, as free capacity only
+            shrinks within a decision.
+    """
+
+    def __init__(
+        self,
+        workers: dict[str, freecapacity.CandidateWorker],
+        held: list[victimcosts.Allocation],
+        counts: dict[tuple[str, int, str], int],
+    ) -> None:
+        self.capacity = freecapacity.FreeCapacity(workers, counts)
+        for allocation in held:
+            if allocation.fills:
+                self.capacity.best_effort_workers.add(allocation.worker_id)
+            if allocation.latency_sensitive:
+                self.capacity.latency_sensitive_workers.add(
+                    allocation.worker_id
+                )
+        self.victims = victimcosts.VictimIndex(held)
+        self.starts: list[Start] = []
+        self.stops: list[Stop] = []
+        self.blocked: list[taskjobs.Group] = []
+        self.gang_reservations = 0
+        self.unplaceable: dict[Shape, int] = {}
+
+    def get_soon_free(self, worker_id: str) -> taskjobs.Resources:
+        """Return the resources that are free or being released."""
+        free = self.capacity.free[worker_id]
+        releasing = self.victims.releasing.get(worker_id)
+        return free if releasing is None else taskjobs.add(free, releasing)
+
+
+def start_tasks(
+    state: PlanningState, entry: WaitingGroup, placed: list[str]
+) -> None:
+    """Start the first tasks of a group on the given workers."""
+    indexes = entry.indexes[: len(placed)]
+    state.starts.append(
+        Start(entry.group, tuple(zip(indexes, placed, strict=True)))
+    )
+    _allocate(state, entry, placed)
+
+
+def _allocate(
+    state: PlanningState, entry: WaitingGroup, placed: list[str]
+) -> None:
+    step = entry.job.steps[entry.group.step]
+    freecapacity.record_placed(state.capacity, step, placed)
+    for worker_id in placed:
+        freecapacity.allocate(
+            state.capacity,
+            worker_id,
+            step.need,
+            (entry.job.id, entry.group.step),
+        )
+
+
+def reserve(
+    state: PlanningState, entry: WaitingGroup, placed: list[str]
+) -> None:
+    """Reserve capacity that is free or being released for a blocked group.
+
+    The groups that are scheduled afterwards cannot use it.
+    """
+    _allocate(state, entry, placed)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -7,6 +7,7 @@
 import queue
 import threading
 
+from cyclamenshelf_core import planstate
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskplan
 from cyclamenshelf_core import urgentdemand
@@ -243,7 +244,7 @@
 
 
 def _start_group(
-    owner: ownerstate.Owner, start: taskplan.Start, slack_ms: int, now_ms: int
+    owner: ownerstate.Owner, start: planstate.Start, slack_ms: int, now_ms: int
 ) -> None:
     entry = owner.ledger.jobs[start.group.job_id]
     number = ledgers.allocate_run_number(owner.ledger)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owneradvice.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owneradvice.py
@@ -1,8 +1,8 @@
 """Use of the recommendation service in the owner's decisions."""
 
 from cyclamenshelf_core import freecapacity
+from cyclamenshelf_core import planstate
 from cyclamenshelf_core import taskjobs
-from cyclamenshelf_core import taskplan
 from cyclamenshelf_daemon.tasks import advice
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import ownerstate
@@ -45,8 +45,8 @@
 
 
 def restrict_workers(
-    owner: ownerstate.Owner, waiting: taskplan.WaitingGroup
-) -> taskplan.WaitingGroup:
+    owner: ownerstate.Owner, waiting: planstate.WaitingGroup
+) -> planstate.WaitingGroup:
     """Return a waiting group with the workers it has valid tickets for.
 
     A group whose queue needs no advice is returned unchanged.
@@ -66,7 +66,7 @@
 
 def request_advice(
     owner: ownerstate.Owner,
-    waiting: list[taskplan.WaitingGroup],
+    waiting: list[planstate.WaitingGroup],
     blocked: set[taskjobs.Group],
     capacities: dict[str, freecapacity.CandidateWorker],
 ) -> None:
@@ -92,7 +92,7 @@
 
 
 def _rank_workers(
-    entry: taskplan.WaitingGroup,
+    entry: planstate.WaitingGroup,
     capacities: dict[str, freecapacity.CandidateWorker],
 ) -> list[str]:
     """Return the workers to request tickets for, best candidates first.
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from cyclamenshelf_core import freecapacity
+from cyclamenshelf_core import planstate
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskplan
 from cyclamenshelf_core import taskprogress
@@ -31,7 +32,7 @@
     lists: queues.Lists,
     times: Times,
     blocked: set[str],
-) -> list[taskplan.WaitingGroup]:
+) -> list[planstate.WaitingGroup]:
     """Return the groups with tasks that could start now.
 
     Args:
@@ -41,7 +42,7 @@
         blocked: Jobs whose tasks must not be started.
     """
     guaranteed_jobs = list_guaranteed_jobs(ledger, lists)
-    waiting: list[taskplan.WaitingGroup] = []
+    waiting: list[planstate.WaitingGroup] = []
     for entry in ledger.jobs.values():
         if entry.progress.state in taskprogress.ENDED:
             continue
@@ -53,7 +54,7 @@
             indexes = _list_startable_tasks(ledger, entry, group)
             if indexes:
                 waiting.append(
-                    taskplan.WaitingGroup(
+                    planstate.WaitingGroup(
                         _apply_queue_settings(entry.job, lists),
                         group,
                         indexes,
@@ -125,7 +126,7 @@
 
 
 def record_urgent_demand(
-    ledger: ledgers.Ledger, waiting: list[taskplan.WaitingGroup], now_ms: int
+    ledger: ledgers.Ledger, waiting: list[planstate.WaitingGroup], now_ms: int
 ) -> None:
     """Record how many accelerators priority 0 uses and waits for."""
     missing: collections.Counter[str] = collections.Counter()
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/stopmetrics.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/stopmetrics.py
@@ -1,5 +1,6 @@
 """Metrics of what stopping tasks for other groups costs and gains."""
 
+from cyclamenshelf_core import planstate
 from cyclamenshelf_core import taskplan
 from cyclamenshelf_core import victimcosts
 from cyclamenshelf_daemon import metrics
@@ -36,7 +37,7 @@
 
 def _count_stops(
     registry: metrics.Metrics,
-    stops: list[taskplan.Stop],
+    stops: list[planstate.Stop],
     held: list[victimcosts.Allocation],
 ) -> None:
     tasks = {stop.task for stop in stops}
--- a/testing/core/taskbuilders.py
+++ b/testing/core/taskbuilders.py
@@ -1,8 +1,8 @@
 """Builders of jobs, workers and allocations for tests of the planner."""
 
 from cyclamenshelf_core import freecapacity
+from cyclamenshelf_core import planstate
 from cyclamenshelf_core import taskjobs
-from cyclamenshelf_core import taskplan
 from cyclamenshelf_core import victimcosts
 
 CAPACITY = taskjobs.Resources(32_000, 64_000, 8)
@@ -54,7 +54,7 @@
 ):
     if indexes is None:
         indexes = tuple(range(job.steps[step].tasks))
-    return taskplan.WaitingGroup(
+    return planstate.WaitingGroup(
         job, taskjobs.Group(job.id, 0, step), indexes, slack_ms, guaranteed
     )
 
--- a/testing/daemon/tasks/test_planning.py
+++ b/testing/daemon/tasks/test_planning.py
@@ -3,6 +3,7 @@
 from testing.core import taskbuilders as builders
 from testing.daemon.tasks import conftest
 
+from cyclamenshelf_core import planstate
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskplan
 from cyclamenshelf_core import taskprogress
@@ -112,7 +113,7 @@
     add_job(ledger, 2)
     group = taskjobs.Group("j", 0, 0)
     other = taskjobs.Task(taskjobs.Group("low", 0, 0), 0)
-    start = taskplan.Start(group, ((0, "w0"),))
+    start = planstate.Start(group, ((0, "w0"),))
     times = planning.Times(NOW_MS, NOW_MS)
 
     def is_preempting():
@@ -120,7 +121,7 @@
         return waiting[0].preempting
 
     assert not is_preempting()
-    stops = [taskplan.Stop(other, group)]
+    stops = [planstate.Stop(other, group)]
     planning.record_preempting_groups(
         ledger, taskplan.Plan([start], stops, [group]), NOW_MS
     )
--- a/testing/daemon/tasks/test_stopmetrics.py
+++ b/testing/daemon/tasks/test_stopmetrics.py
@@ -3,6 +3,7 @@
 import pytest
 from testing.core import taskbuilders as builders
 
+from cyclamenshelf_core import planstate
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskplan
 from cyclamenshelf_core import taskprogress
@@ -12,7 +13,7 @@
 from cyclamenshelf_daemon.tasks import stopmetrics
 
 GROUP = taskjobs.Group("urgent", 0, 0)
-START = taskplan.Start(GROUP, ((0, "w00"),))
+START = planstate.Start(GROUP, ((0, "w00"),))
 
 
 @pytest.fixture
@@ -43,7 +44,7 @@
 def make_plan(starts=(), stops=0, blocked=()):
     task = taskjobs.Task(taskjobs.Group("low", 0, 0), 0)
     return taskplan.Plan(
-        list(starts), [taskplan.Stop(task, GROUP)] * stops, list(blocked)
+        list(starts), [planstate.Stop(task, GROUP)] * stops, list(blocked)
     )
 
 
