--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -6,7 +6,8 @@
 longer meet it come last. Only a group of priority 0 may preempt tasks of lower
 priority. Capacity that is being freed for a group is reserved for it, and a
 few other gangs reserve capacity too. Some capacity stays free for groups of
-priority 0 that may arrive next.
+priority 0 that may arrive next; of the others, only a group of priority 1 that
+would soon miss its objective may use it.
 """
 
 from typing import NamedTuple
@@ -18,6 +19,9 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import victimcosts
 
+# A group of priority 1 with less slack than this may use the capacity that is
+# kept free for priority 0, so that urgent work does not make it late.
+_HEADROOM_SLACK_MS = 5_000
 # How many blocked gangs below priority 0 get capacity reserved per decision.
 _MAX_GANG_RESERVATIONS = 3
 
@@ -56,7 +60,7 @@
     state = planstate.PlanningState(workers, held, counts)
     headroom_reserved = False
     for entry in sorted(waiting, key=_get_sort_key):
-        if entry.job.priority > 0 and not headroom_reserved:
+        if not headroom_reserved and not _may_use_headroom(entry):
             headroom_reserved = True
             _reserve_headroom(state, urgent_headroom)
         _schedule_group(state, entry)
@@ -77,6 +81,13 @@
     )
 
 
+def _may_use_headroom(entry: planstate.WaitingGroup) -> bool:
+    """Return whether a group may use what is kept free for priority 0."""
+    if entry.job.priority == 1:
+        return 0 <= entry.slack_ms < _HEADROOM_SLACK_MS
+    return entry.job.priority == 0
+
+
 def _reserve_headroom(
     state: planstate.PlanningState, urgent_headroom: dict[str, int]
 ) -> None:
--- a/testing/core/test_taskplan.py
+++ b/testing/core/test_taskplan.py
@@ -264,6 +264,27 @@
     assert sum(len(start.placements) for start in result.starts) == tasks
 
 
+@pytest.mark.parametrize(
+    ("slack_ms", "priority", "starts"),
+    [(4_999, 1, 1), (5_000, 1, 0), (-1, 1, 0), (4_999, 2, 0)],
+)
+def test_priority_1_uses_the_headroom_before_it_is_late(
+    slack_ms, priority, starts
+):
+    # Under steady urgent demand its gangs did not start before their
+    # objective had passed.
+    step = builders.make_step(2, 8, gang=True)
+    job = builders.make_job("j", step, priority=priority)
+    result = taskplan.plan(
+        [builders.make_waiting_group(job, slack_ms=slack_ms)],
+        [],
+        builders.make_workers(1, 2),
+        {},
+        {"service": 16},
+    )
+    assert len(result.starts) == starts
+
+
 _steps = st.builds(
     builders.make_step,
     tasks=st.integers(1, 6),
