--- a/testing/core/taskbuilders.py
+++ b/testing/core/taskbuilders.py
@@ -33,6 +33,10 @@
     return job._replace(**values)
 
 
+def make_long_running_job(job_id, **values):
+    return make_job(job_id, make_step(1, 1, long_running=True, **values))
+
+
 def make_workers(racks=2, per_rack=2, **free):
     workers_by_id = {}
     for rack in range(racks):
