--- a/packages/core/src/cyclamenshelf_core/policy.py
+++ b/packages/core/src/cyclamenshelf_core/policy.py
@@ -97,6 +97,8 @@
         blocked_classes: Reason codes of the job classes that do not fit.
         reserved_queues: Account and urgency of the queues of which a job has
             a reservation.
+        deferred: Jobs that would use capacity that others used recently, by
+            id.
         searches_left: Searches that this decision may still make.
     """
 
@@ -123,6 +125,7 @@
         self.reservations: dict[str, Claim] = {}
         self.blocked_classes: dict[_JobClass, str] = {}
         self.reserved_queues: set[tuple[str, model.Urgency]] = set()
+        self.deferred: dict[str, model.Job] = {}
         self.searches_left = _MAX_SEARCHES
 
 
@@ -205,6 +208,9 @@
     for urgency in model.Urgency:
         _apply_reservations(state, urgency)
         _schedule_urgency(state, queues[urgency])
+        _schedule_deferred(state)
+    for job in state.deferred.values():
+        _block_job(state, job, "kept_for_others")
 
 
 def compute_free_accelerators(snapshot: Snapshot) -> dict[str, int]:
@@ -513,8 +519,34 @@
             fair_queue.charge(job, _estimate_run_ms(state, job))
 
 
+def _schedule_deferred(state: _DecisionState) -> None:
+    """Schedule the deferred jobs that no longer take capacity of others.
+
+    The others may have got theirs by now. Without this, the next decision
+    would preempt jobs for them before any victim of this one has stopped.
+    """
+    progress = True
+    while progress:
+        progress = False
+        waiting, state.deferred = state.deferred, {}
+        # Nothing has changed for an account since its last smaller job.
+        smallest: dict[tuple[str, bool], int] = {}
+        for job in waiting.values():
+            key = (job.account, decisions.is_preemptible(job))
+            wanted = decisions.count_accelerators(job.spec.shape)
+            if wanted >= smallest.get(key, wanted + 1):
+                state.deferred[job.id] = job
+            elif _schedule_job(state, job):
+                ordering.charge_usage(
+                    state.usage, job, _estimate_run_ms(state, job)
+                )
+                progress = True
+            elif job.id not in state.decided:
+                smallest[key] = wanted
+
+
 def _schedule_job(state: _DecisionState, job: model.Job) -> bool:
-    """Decide on one job; return whether it gets or claims capacity."""
+    """Decide on one job or defer it; return whether it gets capacity."""
     reservation = state.reservations.pop(job.id, None)
     if reservation is not None:
         ledgers.reserve(state.ledger, _sum_by_worker(reservation.placement), -1)
@@ -533,7 +565,7 @@
             _block_job(state, job, state.blocked_classes[key])
         return False
     if _takes_capacity_of_others(state, job):
-        _block_job(state, job, "kept_for_others")
+        state.deferred[job.id] = job
         return False
     found = _find_placement(state.ledger, job)
     if found is not None:
