--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
@@ -1,5 +1,6 @@
 """State of each worker as the owner has it, and the timing of its lease."""
 
+import enum
 import threading
 
 from cyclamenshelf_core import clock as clocks
@@ -25,6 +26,15 @@
 RunKey = tuple[str, int]
 
 
+class Obstacle(enum.StrEnum):
+    """Why a worker may not be given new tasks."""
+
+    UNLISTED = "unlisted"
+    UNRESPONSIVE = "unresponsive"
+    DRAINING = "draining"
+    QUARANTINED = "quarantined"
+
+
 class Worker:
     """One incarnation of a worker as the owner sees it.
 
@@ -140,17 +150,19 @@
     return max(0, int(1_000 * workers / _IDLE_POLLS_PER_S) - _POLL_MS)
 
 
-def may_start(worker: Worker, now_ms: int) -> bool:
-    """Return whether a worker may be given new tasks."""
+def find_obstacle(worker: Worker, now_ms: int) -> Obstacle | None:
+    """Return why a worker may not be given new tasks, or None if it may."""
     if worker.unlisted_ms is not None and (
         now_ms - worker.unlisted_ms > _UNLISTED_GRACE_MS
     ):
-        return False
-    return (
-        not is_unresponsive(worker, now_ms)
-        and worker.info.draining_ms is None
-        and now_ms >= worker.quarantined_until_ms
-    )
+        return Obstacle.UNLISTED
+    if is_unresponsive(worker, now_ms):
+        return Obstacle.UNRESPONSIVE
+    if worker.info.draining_ms is not None:
+        return Obstacle.DRAINING
+    if now_ms < worker.quarantined_until_ms:
+        return Obstacle.QUARANTINED
+    return None
 
 
 def record_failure(worker: Worker, job_id: str, now_ms: int) -> bool:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -27,6 +27,7 @@
 from cyclamenshelf_daemon.tasks import ownerworkers
 from cyclamenshelf_daemon.tasks import planning
 from cyclamenshelf_daemon.tasks import stopmetrics
+from cyclamenshelf_daemon.tasks import waitreports
 from cyclamenshelf_daemon.tasks import writer
 
 _TICK_MS = 200
@@ -184,6 +185,7 @@
         return
     owner.decided_ms = started_ms
     if not ownership.is_lease_valid(owner.tenure, clock):
+        waitreports.report_unproved_lease(owner.wait_reports, started_ms)
         owner.pause_ms = _UNPROVED_RETRY_MS
         return
     if started_ms < owner.settle_until_ms and _awaits_workers(owner):
@@ -241,6 +243,13 @@
     slack_by_group = {entry.group: entry.slack_ms for entry in waiting}
     for start in decision.starts:
         _start_group(owner, start, slack_by_group[start.group], times.now_ms)
+    blocked = set(decision.blocked)
+    waitreports.report_waiting_groups(
+        owner.wait_reports,
+        [entry for entry in waiting if entry.group in blocked],
+        owner.workers.values(),
+        times,
+    )
 
 
 def _start_group(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -17,6 +17,7 @@
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import submission
+from cyclamenshelf_daemon.tasks import waitreports
 
 _POOL_THREADS = 32
 _RETRY_GROUP_MS = 150
@@ -96,6 +97,7 @@
         self.settle_until_ms = 0
         self.synced_ms = 0
         self.advice = advice.Advice()
+        self.wait_reports = waitreports.WaitReports()
         self.work = following.TableCopy(submission.WORK_TABLE)
         self.pool = concurrent.futures.ThreadPoolExecutor(_POOL_THREADS)
         self.links: links.LinkContext | None = None
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -121,7 +121,7 @@
             workerspeeds.is_slow(ledger.speeds, worker.info.id),
         )
         for worker in workers
-        if fleet.may_start(worker, now_ms)
+        if fleet.find_obstacle(worker, now_ms) is None
     }
 
 
