--- a/testing/daemon/tasks/conftest.py
+++ b/testing/daemon/tasks/conftest.py
@@ -1,6 +1,7 @@
 """Fixtures: a fake store, two fake workers, and owners that schedule jobs."""
 
 import itertools
+import threading
 import time
 
 import pytest
@@ -57,6 +58,7 @@
         self.job_numbers = itertools.count(1)
         self.tenures = []
         self.owners = []
+        self.stopping = threading.Event()
 
     def list_worker(self, worker):
         """Write the worker's current entry to the list of workers."""
@@ -76,6 +78,24 @@
         tenure = ownership.Tenure(
             epoch, row.version, self.clock.now_ms() + 3_600_000
         )
+        self._start_owner(tenure, lease_ms)
+        return tenure
+
+    def start_host(self, lease_ms=6_000):
+        """Start a host that acquires the lease and becomes the owner."""
+        return ownership.start_lease_thread(
+            ownership.OwnershipContext(
+                self.fake_store.store,
+                self.clock,
+                "host",
+                1.0,
+                ownership.make_lease_key(cross_part_transactions=True),
+                lambda tenure: self._start_owner(tenure, lease_ms),
+                self.stopping,
+            )
+        )
+
+    def _start_owner(self, tenure, lease_ms):
         context = ownerstate.OwnerContext(
             self.fake_store.store,
             fakefleet.make_workers(self.workers),
@@ -90,7 +110,6 @@
         )
         self.tenures.append(tenure)
         self.owners.append(owners.start_owner(context, tenure))
-        return tenure
 
     def submit(self, *steps, **values):
         """Store a job as an entry host does; return its id."""
@@ -157,6 +176,7 @@
 def cell():
     instance = Cell()
     yield instance
+    instance.stopping.set()
     for tenure in instance.tenures:
         tenure.ended.set()
 
