Keep calling workers after an outage beyond the grace period

Cause: the threads that renew the leases of workers ended once the owner's lease had been unproved for longer than its grace period. The tenure went on, as no other host could reach the store, and its lease was renewed when the store returned; but each thread is started only once, so the owner heard of no worker any more and took all of them for unresponsive.

Ruled out: an empty list of workers (groups_waiting would say workers=0), a lease that the owner does not know to be valid (decisions_suspended). Ending the tenure after the grace period was considered: it would need a new epoch and a reload of all jobs for a lease that no other host has taken.

Change: the thread of a worker pauses while leases may not be renewed, and ends with the worker or the tenure. The lease thread logs when the lease is no longer proved and when it is again.

It is safe against a second owner, since leases of workers are renewed only within the grace period of a lease row that was written under the condition of its version.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/links.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/links.py
@@ -19,6 +19,9 @@
 # because the lease still has to be renewed.
 _STORED_WAIT_MS = 700
 _RETRY_PAUSE_MS = 150
+# How often a thread checks whether leases may be renewed again after an outage
+# of the store that was longer than the owner's grace period.
+_LAPSED_PAUSE_MS = 400
 
 
 class LinkContext(NamedTuple):
@@ -53,10 +56,27 @@
 
 
 def _run(context: LinkContext, worker: fleet.Worker) -> None:
+    while _is_needed(context, worker):
+        if _may_renew(context):
+            _renew_until_lapsed(context, worker)
+        else:
+            worker.closing.wait(_LAPSED_PAUSE_MS / 1000)
+
+
+def _is_needed(context: LinkContext, worker: fleet.Worker) -> bool:
+    return not worker.closing.is_set() and not context.tenure.ended.is_set()
+
+
+def _may_renew(context: LinkContext) -> bool:
+    return ownership.may_renew_worker_leases(context.tenure, context.clock)
+
+
+def _renew_until_lapsed(context: LinkContext, worker: fleet.Worker) -> None:
+    """Renew a worker's lease while the owner may do so."""
     connection = context.workers.connect(worker.info)
     unresponsive_since_ms: int | None = None
     try:
-        while _should_continue(context, worker):
+        while _is_needed(context, worker) and _may_renew(context):
             problem = _renew_once(context, worker, connection)
             now_ms = context.clock.now_ms()
             if problem is None and unresponsive_since_ms is not None:
@@ -79,12 +99,6 @@
         connection.close()
 
 
-def _should_continue(context: LinkContext, worker: fleet.Worker) -> bool:
-    return not worker.closing.is_set() and ownership.may_renew_worker_leases(
-        context.tenure, context.clock
-    )
-
-
 def _renew_once(
     context: LinkContext,
     worker: fleet.Worker,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownership.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownership.py
@@ -221,6 +221,7 @@
 
 def _renew_until_ended(context: OwnershipContext, tenure: Tenure) -> None:
     """Renew the lease until the tenure ends or the host stops."""
+    unproved_since_ms: int | None = None
     try:
         context.on_acquired(tenure)
         while not context.stopping.is_set() and not tenure.ended.is_set():
@@ -230,6 +231,9 @@
             )
             spent_ms = context.clock.now_ms() - started_ms
             pause_ms = RENEW_MS - spent_ms if renewed else _RETRY_MS
+            unproved_since_ms = _log_proof(
+                tenure, context.clock, unproved_since_ms
+            )
             tenure.ended.wait(max(0, pause_ms) / 1000)
         lost = tenure.ended.is_set()
         if not lost:
@@ -239,6 +243,40 @@
     logs.log_event("tenure_ended", epoch=tenure.epoch, lost=lost)
 
 
+def _log_proof(
+    tenure: Tenure, clock: clocks.Clock, unproved_since_ms: int | None
+) -> int | None:
+    """Log when the lease is no longer proved, and when it is again.
+
+    Args:
+        tenure: The tenure.
+        clock: The clock.
+        unproved_since_ms: Monotonic time since which the lease is not proved,
+            or None if it was proved at the last call.
+
+    Returns:
+        The same after this call.
+    """
+    now_ms = clock.now_ms()
+    if tenure.ended.is_set():
+        return None
+    if is_lease_valid(tenure, clock):
+        if unproved_since_ms is not None:
+            logs.log_event(
+                "lease_proved_again",
+                epoch=tenure.epoch,
+                unproved_ms=now_ms - unproved_since_ms,
+                grace_exceeded=now_ms - unproved_since_ms >= GRACE_MS,
+            )
+        return None
+    if unproved_since_ms is None:
+        logs.log_event(
+            "lease_unproved", "WARNING", epoch=tenure.epoch, grace_ms=GRACE_MS
+        )
+        return tenure.valid_until_ms
+    return unproved_since_ms
+
+
 def _release(context: OwnershipContext, tenure: Tenure) -> None:
     """Release the lease, and stay the owner until another host acquires it.
 
