Keep long-lived threads running after an unexpected exception

What may raise it is, for example, text of another writer that is nested too deeply.

Ruled out: ending the process. Its neighbours would read the same text.

Change: run_until_stopped calls a loop's body again after a pause. A worker's thread opens a new connection. The progress writer ends the tenure, as nobody knows what became of its batch; the next owner reads what is stored.

--- a/packages/daemon/src/cyclamenshelf_daemon/configuration.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/configuration.py
@@ -14,6 +14,7 @@
 from cyclamenshelf_core import model
 from cyclamenshelf_daemon import configurationrows
 from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon import supervision
 from cyclamenshelf_daemon import tableclient
 
 CURRENT_KEY = configurationrows.CURRENT_KEY
@@ -63,7 +64,15 @@
     """Read the lists once, then start a thread that polls them."""
     refresh(configuration)
     threading.Thread(
-        target=_poll, args=(configuration,), name="configuration", daemon=True
+        target=supervision.run_until_stopped,
+        args=(
+            "configuration_failed",
+            threading.Event(),
+            _poll,
+            configuration,
+        ),
+        name="configuration",
+        daemon=True,
     ).start()
 
 
@@ -217,7 +226,7 @@
 
 
 def _poll(configuration: Configuration) -> None:
-    while True:
-        configuration.wake.wait(_POLL_INTERVAL_MS / 1000)
-        configuration.wake.clear()
-        refresh(configuration)
+    """Wait until the lists have to be read, and read them."""
+    configuration.wake.wait(_POLL_INTERVAL_MS / 1000)
+    configuration.wake.clear()
+    refresh(configuration)
--- a/packages/daemon/src/cyclamenshelf_daemon/hostlist.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/hostlist.py
@@ -16,6 +16,7 @@
 from cyclamenshelf_core import model
 from cyclamenshelf_daemon import httpclient
 from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon import supervision
 
 # A poll starts each second and takes at most one, so that a change is read at
 # most 2 s after the list shows it. Leaving hosts must be noticed within 3 s.
@@ -81,7 +82,10 @@
     """Read the list once, then poll it in a background thread."""
     refresh_hosts(host_list)
     threading.Thread(
-        target=_poll, args=(host_list,), name="host-list", daemon=True
+        target=supervision.run_until_stopped,
+        args=("host_list_failed", threading.Event(), _poll, host_list),
+        name="host-list",
+        daemon=True,
     ).start()
 
 
@@ -117,12 +121,11 @@
 
 
 def _poll(host_list: HostList) -> None:
+    """Read the list, and wait for the rest of the interval."""
     started_ms = host_list.clock.now_ms()
-    while True:
-        elapsed_ms = host_list.clock.now_ms() - started_ms
-        host_list.clock.sleep_ms(max(0, _POLL_INTERVAL_MS - elapsed_ms))
-        started_ms = host_list.clock.now_ms()
-        refresh_hosts(host_list)
+    refresh_hosts(host_list)
+    elapsed_ms = host_list.clock.now_ms() - started_ms
+    host_list.clock.sleep_ms(max(0, _POLL_INTERVAL_MS - elapsed_ms))
 
 
 def _decode_hosts(hosts: list[dict[str, Any]]) -> Hosts:
--- a/packages/daemon/src/cyclamenshelf_daemon/peers.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/peers.py
@@ -19,6 +19,7 @@
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import membership as memberships
 from cyclamenshelf_daemon import messages
+from cyclamenshelf_daemon import supervision
 
 _QUEUE_LIMIT = 256
 _RECEIVE_RETRY_MS = 100
@@ -97,7 +98,10 @@
         (_run_rounds, "peer-rounds"),
     ):
         threading.Thread(
-            target=target, args=(peers,), name=name, daemon=True
+            target=supervision.run_until_stopped,
+            args=("peers_failed", peers.stopped, target, peers),
+            name=name,
+            daemon=True,
         ).start()
     return peers
 
@@ -271,10 +275,17 @@
         item = get_item(peer.queue)
         if item is None:
             return
-        if isinstance(item, bytes):
-            _send(peers, peer, item)
-        else:
-            handle_message(peers, item)
+        supervision.run_logged("peer_failed", _handle_item, peers, peer, item)
+
+
+def _handle_item(
+    peers: Peers, peer: Peer, item: bytes | messages.Message
+) -> None:
+    """Send a datagram, or process a received message."""
+    if isinstance(item, bytes):
+        _send(peers, peer, item)
+    else:
+        handle_message(peers, item)
 
 
 def _send(peers: Peers, peer: Peer, datagram: bytes) -> None:
--- a/packages/daemon/src/cyclamenshelf_daemon/retention.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/retention.py
@@ -13,6 +13,7 @@
 from cyclamenshelf_daemon import endedjobs
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import objectclient
+from cyclamenshelf_daemon import supervision
 from cyclamenshelf_daemon import tableclient
 
 _SWEEP_INTERVAL_S = 600
@@ -31,7 +32,10 @@
 def start_sweeping(context: RetentionContext) -> None:
     """Start the thread that deletes old jobs until `stopped` is set."""
     threading.Thread(
-        target=_run_sweeps, args=(context,), name="retention", daemon=True
+        target=supervision.run_until_stopped,
+        args=("retention_failed", context.stopped, _run_sweeps, context),
+        name="retention",
+        daemon=True,
     ).start()
 
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/links.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/links.py
@@ -22,6 +22,8 @@
 # How often a thread checks whether leases may be renewed again after an outage
 # of the store that was longer than the owner's grace period.
 _LAPSED_PAUSE_MS = 400
+# Pause after an unexpected error, which limits its log lines.
+_FAILURE_PAUSE_MS = 1_000
 
 
 class LinkContext(NamedTuple):
@@ -46,8 +48,8 @@
 def start_link(context: LinkContext, worker: fleet.Worker) -> threading.Thread:
     """Start a worker's thread; it ends when the tenure or the worker ends."""
     thread = threading.Thread(
-        target=supervision.run_logged,
-        args=("link_failed", _run, context, worker),
+        target=_run,
+        args=(context, worker),
         name=f"link-{worker.info.id}",
         daemon=True,
     )
@@ -57,10 +59,12 @@
 
 def _run(context: LinkContext, worker: fleet.Worker) -> None:
     while _is_needed(context, worker):
-        if _may_renew(context):
-            _renew_until_lapsed(context, worker)
-        else:
+        if not _may_renew(context):
             worker.closing.wait(_LAPSED_PAUSE_MS / 1000)
+        elif not supervision.run_logged(
+            "link_failed", _renew_until_lapsed, context, worker
+        ):
+            worker.closing.wait(_FAILURE_PAUSE_MS / 1000)
 
 
 def _is_needed(context: LinkContext, worker: fleet.Worker) -> bool:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownership.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownership.py
@@ -121,7 +121,10 @@
 def start_lease_thread(context: OwnershipContext) -> threading.Thread:
     """Start the thread that acquires and renews the lease; return it."""
     thread = threading.Thread(
-        target=_run, args=(context,), name="ownership", daemon=True
+        target=supervision.run_until_stopped,
+        args=("ownership_failed", context.stopping, _run, context),
+        name="ownership",
+        daemon=True,
     )
     thread.start()
     return thread
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/writer.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/writer.py
@@ -57,8 +57,8 @@
 def start_writer(context: WriterContext) -> threading.Thread:
     """Start the thread that writes the queued batches in order."""
     thread = threading.Thread(
-        target=supervision.run_logged,
-        args=("writer_failed", _run, context),
+        target=_run_supervised,
+        args=(context,),
         name="progress-writer",
         daemon=True,
     )
@@ -66,6 +66,16 @@
     return thread
 
 
+def _run_supervised(context: WriterContext) -> None:
+    """Write until the tenure ends; end it after an unexpected error.
+
+    The progress of a batch that failed is known to nobody, so the next owner
+    has to read what is stored.
+    """
+    if not supervision.run_logged("writer_failed", _run, context):
+        context.tenure.ended.set()
+
+
 def _run(context: WriterContext) -> None:
     generator = random.Random()
     timeout = adaptivetimeout.AdaptiveTimeout()
--- a/testing/daemon/tasks/test_store_outages.py
+++ b/testing/daemon/tasks/test_store_outages.py
@@ -1,4 +1,4 @@
-"""Tests of an owner that stays the owner over an outage of the store."""
+"""Tests of an owner whose threads meet outages and unexpected errors."""
 
 import time
 
@@ -6,7 +6,10 @@
 from testing.daemon.tasks import conftest
 
 from cyclamenshelf_core import taskprogress
+from cyclamenshelf_daemon import supervision
 from cyclamenshelf_daemon.tasks import fleet
+from cyclamenshelf_daemon.tasks import jobstates
+from cyclamenshelf_daemon.tasks import links
 from cyclamenshelf_daemon.tasks import ownership
 
 # Urgent work starts within this time.
@@ -44,3 +47,55 @@
     cell.end_all(job_id)
     cell.wait_for_state(job_id, taskprogress.State.COMPLETED)
     assert len(cell.list_runs(job_id)) == 1
+
+
+def test_worker_is_called_again_after_an_unexpected_error(cell, monkeypatch):
+    # The worker's thread ended, and the worker counted as unresponsive until
+    # the owner was replaced.
+    monkeypatch.setattr(links, "_FAILURE_PAUSE_MS", 10)
+    worker = cell.workers[0]
+    renew, failures = worker.renew, [RecursionError("odd response")]
+
+    def renew_or_fail(make_renewal):
+        if failures:
+            raise failures.pop()
+        return renew(make_renewal)
+
+    worker.renew = renew_or_fail
+    cell.start_owner()
+    conftest.wait_until(lambda: worker.epoch == 1, "the worker is called")
+
+
+def test_owner_ends_its_tenure_when_progress_cannot_be_written(cell):
+    # The writer's thread ended, and the owner waited for its batch for good:
+    # it started nothing, and no other host could take over.
+    cell.start_owner()
+    job_id = cell.submit(builders.make_step(1))
+    cell.wait_for_runs(job_id, 1)
+
+    def fail(transaction):
+        if any(
+            key.table == jobstates.PROGRESS_TABLE for key in transaction.puts
+        ):
+            raise RecursionError("odd response")
+
+    cell.fake_store.before_commit = fail
+    cell.end_all(job_id)
+    assert cell.tenures[0].ended.wait(conftest.TIMEOUT_S)
+
+
+def test_lease_is_acquired_after_an_unexpected_error(cell, monkeypatch):
+    # The lease's thread ended, and the host could never become the owner.
+    monkeypatch.setattr(supervision, "_FAILURE_PAUSE_MS", 10)
+    read_row, failures = cell.fake_store.read_row, [RecursionError("odd row")]
+
+    def read_or_fail(key, timeout_ms):
+        if failures:
+            raise failures.pop()
+        return read_row(key, timeout_ms)
+
+    cell.fake_store.store = cell.fake_store.store._replace(
+        read_row=read_or_fail
+    )
+    cell.start_host()
+    conftest.wait_until(lambda: cell.owners, "the host is the owner")
