Start a task again after an unexpected exception of its start

An exception that the delivery of a start did not foresee was logged and forgotten. The run stayed allocated without an outcome, so its capacity was lost and its task waited until the worker's lease lapsed.

Change: such a start counts as unacknowledged, since it may have been sent: a stop has to be acknowledged before the task is started again.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/orders.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/orders.py
@@ -61,7 +61,9 @@
     start: StartArguments,
 ) -> None:
     """Send a start in a thread of the pool."""
-    _submit(context, "start_failed", _deliver_start, worker, run, start)
+    _submit(
+        context, "start_failed", _deliver_or_give_up_start, worker, run, start
+    )
 
 
 def send_stop(
@@ -97,6 +99,19 @@
         logs.log_event("order_dropped", order=event)
 
 
+def _deliver_or_give_up_start(
+    context: OrderContext,
+    worker: fleet.Worker,
+    run: ledgers.Run,
+    start: StartArguments,
+) -> None:
+    """Send a start; after an unexpected error, it may have been sent."""
+    if not supervision.run_logged(
+        "start_failed", _deliver_start, context, worker, run, start
+    ):
+        context.on_unacknowledged(run)
+
+
 def _deliver_start(
     context: OrderContext,
     worker: fleet.Worker,
--- a/testing/daemon/tasks/fakefleet.py
+++ b/testing/daemon/tasks/fakefleet.py
@@ -25,6 +25,7 @@
             `deliver_delayed_starts`.
         delay_starts: How many of the next starts go to `delayed_starts`.
         refuse: Refusal with which starts are rejected; None to accept them.
+        start_errors: Exceptions that the next starts raise.
         tickets: Tickets that a start may carry; None if it needs none.
         started: Names, numbers and checkpoints of all started runs, in order.
         highest_closed_runs: Highest run number that has ended or was stopped,
@@ -48,6 +49,7 @@
         self.delay_starts = 0
         self.delayed_starts = []
         self.refuse = None
+        self.start_errors = []
         self.tickets = None
         self.started = []
         self.lock = threading.Lock()
@@ -108,6 +110,8 @@
             return None
 
     def start(self, order, timeout_ms):
+        if self.start_errors:
+            raise self.start_errors.pop()
         if self.delay_starts:
             self.delay_starts -= 1
             self.delayed_starts.append(order)
--- a/testing/daemon/tasks/test_store_outages.py
+++ b/testing/daemon/tasks/test_store_outages.py
@@ -99,3 +99,12 @@
     )
     cell.start_host()
     conftest.wait_until(lambda: cell.owners, "the host is the owner")
+
+
+def test_task_is_started_again_after_an_unexpected_error_of_its_start(cell):
+    # The run kept its capacity for good, and the job never started.
+    cell.start_owner()
+    for worker in cell.workers:
+        worker.start_errors = [RecursionError("odd response")]
+    job_id = cell.submit(builders.make_step(1))
+    cell.wait_for_runs(job_id, 1)
