Give up tasks that crash the workers that run them

Cause: nothing counts a run that ends without a report. A crashed worker lists no end, and the requeue after its lease has expired puts the task back as new.

Ruled out: a count that is lost with the owner's process (there was none), and a restart that is taken for a cut (the requeue is right in both cases). Weighed and not taken: isolation after the first loss, and telling a crash by how the connection ended (docs/platform.md).

Change: the stored progress counts the runs with which a worker was lost, by run number, so a gang's run counts once and a takeover counts nothing twice. After two the task runs alone on a worker, after three its job has failed. A worker that shuts down, one that responds again, one that was lost together with an idle one, and a run that lasted long do not count. The row names the runs assigned to each worker, so losses during a takeover are counted.

--- a/packages/core/src/cyclamenshelf_core/freecapacity.py
+++ b/packages/core/src/cyclamenshelf_core/freecapacity.py
@@ -17,6 +17,7 @@
         total: Resources of the worker when it is empty.
         suspect: Whether its latest tasks failed; others are preferred.
         slow: Whether tasks take longer on it than on others.
+        started_ms: Unix time of its start.
     """
 
     id: str
@@ -27,6 +28,7 @@
     total: taskjobs.Resources
     suspect: bool = False
     slow: bool = False
+    started_ms: int = 0
 
 
 class FreeCapacity:
--- /dev/null
+++ b/packages/core/src/cyclamenshelf_core/planisolation.py
@@ -0,0 +1,88 @@
+"""Placement of tasks that are suspected of crashing their workers."""
+
+from cyclamenshelf_core import freecapacity
+from cyclamenshelf_core import planstate
+from cyclamenshelf_core import taskjobs
+
+# At most one of this many workers is kept for isolated tasks.
+_WORKERS_PER_ISOLATED = 8
+
+
+def schedule_isolated_group(
+    state: planstate.PlanningState, entry: planstate.WaitingGroup
+) -> None:
+    """Start a group on workers that run nothing else, or keep some for it.
+
+    Workers that are kept get no other tasks in this decision. As those with
+    the least allocated are taken, the next decisions keep the same ones, until
+    their tasks have ended.
+    """
+    chosen = _choose_workers(state, entry)
+    if not chosen or not _may_isolate(state, len(chosen)):
+        state.blocked.append(entry.group)
+        return
+    state.isolated += len(chosen)
+    if all(_is_empty(state, worker_id) for worker_id in chosen):
+        placed = [name for name, count in chosen.items() for _ in range(count)]
+        planstate.start_tasks(state, entry, placed)
+    else:
+        state.blocked.append(entry.group)
+    for worker_id in chosen:
+        state.capacity.free[worker_id] = taskjobs.NO_RESOURCES
+
+
+def _choose_workers(
+    state: planstate.PlanningState, entry: planstate.WaitingGroup
+) -> dict[str, int]:
+    """Return how many tasks to place on which workers; empty if too few fit.
+
+    Workers that have run for long come first: one that has just started may be
+    one that crashes whatever it runs.
+    """
+    step = entry.job.steps[entry.group.step]
+    candidates = [
+        worker
+        for worker in freecapacity.list_eligible(
+            state.capacity, entry.job, step
+        )
+        if entry.allowed_workers is None or worker.id in entry.allowed_workers
+    ]
+    candidates.sort(
+        key=lambda worker: (
+            _get_allocated(state, worker),
+            worker.suspect,
+            worker.started_ms,
+            worker.id,
+        )
+    )
+    chosen: dict[str, int] = {}
+    missing = len(entry.indexes)
+    for worker in candidates:
+        count = taskjobs.count_fitting(worker.total, step.need)
+        count = min(count, step.max_per_worker or count, missing)
+        if count > 0:
+            chosen[worker.id] = count
+            missing -= count
+        if not missing:
+            return chosen
+    return {}
+
+
+def _may_isolate(state: planstate.PlanningState, workers: int) -> bool:
+    """Return whether more workers may be kept; one group always may."""
+    limit = len(state.capacity.workers) // _WORKERS_PER_ISOLATED
+    return state.isolated == 0 or state.isolated + workers <= limit
+
+
+def _is_empty(state: planstate.PlanningState, worker_id: str) -> bool:
+    worker = state.capacity.workers[worker_id]
+    return state.capacity.free[worker_id] == worker.total
+
+
+def _get_allocated(
+    state: planstate.PlanningState, worker: freecapacity.CandidateWorker
+) -> taskjobs.Resources:
+    used = taskjobs.subtract(worker.total, state.capacity.free[worker.id])
+    return taskjobs.Resources(
+        used.accelerators, used.cpu_millis, used.memory_mb
+    )
--- a/packages/core/src/cyclamenshelf_core/planstate.py
+++ b/packages/core/src/cyclamenshelf_core/planstate.py
@@ -17,6 +17,7 @@
         guaranteed: Whether the account's guarantee covers the job.
         allowed_workers: Workers that may run the tasks; None for any.
         preempting: Whether tasks have been stopped for the group.
+        isolated: Whether the tasks must run on workers of their own.
     """
 
     job: taskjobs.TaskJob
@@ -26,6 +27,7 @@
     guaranteed: bool
     allowed_workers: frozenset[str] | None = None
     preempting: bool = False
+    isolated: bool = False
 
 
 class Start(NamedTuple):
@@ -33,10 +35,12 @@
 
     Attributes:
         placements: Index and worker of each task.
+        isolated: Whether the workers get no other tasks meanwhile.
     """
 
     group: taskjobs.Group
     placements: tuple[tuple[int, str], ...]
+    isolated: bool = False
 
 
 class Stop(NamedTuple):
@@ -69,6 +73,7 @@
         victims: All allocations, and the tasks chosen to be stopped.
         gang_reservations: Number of blocked gangs below priority 0 for which
             capacity was reserved.
+        isolated: Number of workers that are kept for isolated tasks.
         unplaceable: By shape, the smallest number of tasks that could not be
             placed. More cannot be placed later either, as free capacity only
             shrinks within a decision.
@@ -79,6 +84,7 @@
         workers: dict[str, freecapacity.CandidateWorker],
         held: list[victimcosts.Allocation],
         counts: dict[tuple[str, int, str], int],
+        isolated: int = 0,
     ) -> None:
         self.capacity = freecapacity.FreeCapacity(workers, counts)
         for allocation in held:
@@ -93,6 +99,7 @@
         self.stops: list[Stop] = []
         self.blocked: list[taskjobs.Group] = []
         self.gang_reservations = 0
+        self.isolated = isolated
         self.unplaceable: dict[Shape, int] = {}
 
     def get_soon_free(self, worker_id: str) -> taskjobs.Resources:
@@ -107,9 +114,8 @@
 ) -> None:
     """Start the first tasks of a group on the given workers."""
     indexes = entry.indexes[: len(placed)]
-    state.starts.append(
-        Start(entry.group, tuple(zip(indexes, placed, strict=True)))
-    )
+    placements = tuple(zip(indexes, placed, strict=True))
+    state.starts.append(Start(entry.group, placements, entry.isolated))
     _allocate(state, entry, placed)
 
 
--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -5,14 +5,16 @@
 the least slack until they would miss their objective; other groups that can no
 longer meet it come last. Only a group of priority 0 may preempt tasks of lower
 priority. Capacity that is being freed for a group is reserved for it, and a
-few other gangs reserve capacity too. Some capacity stays free for groups of
-priority 0 that may arrive next; of the others, only a group of priority 1 that
-would soon miss its objective may use it.
+few other gangs reserve capacity too. Tasks that may have crashed workers run
+alone, and are scheduled after the groups of priority 0. Some capacity stays
+free for groups of priority 0 that may arrive next; of the others, only isolated
+tasks and a group of priority 1 that would soon miss its objective may use it.
 """
 
 from typing import NamedTuple
 
 from cyclamenshelf_core import freecapacity
+from cyclamenshelf_core import planisolation
 from cyclamenshelf_core import planpreemption
 from cyclamenshelf_core import plansearch
 from cyclamenshelf_core import planstate
@@ -46,6 +48,7 @@
     workers: dict[str, freecapacity.CandidateWorker],
     counts: dict[tuple[str, int, str], int],
     urgent_headroom: dict[str, int],
+    isolated_workers: int = 0,
 ) -> Plan:
     """Return the tasks to start and to stop.
 
@@ -56,21 +59,28 @@
         counts: Number of allocated tasks by job, step and worker.
         urgent_headroom: Number of accelerators to keep free for groups of
             priority 0 that may arrive next, by service.
+        isolated_workers: Number of workers that run isolated tasks; they are
+            not among `workers`.
     """
-    state = planstate.PlanningState(workers, held, counts)
+    state = planstate.PlanningState(workers, held, counts, isolated_workers)
     headroom_reserved = False
     for entry in sorted(waiting, key=_get_sort_key):
         if not headroom_reserved and not _may_use_headroom(entry):
             headroom_reserved = True
             _reserve_headroom(state, urgent_headroom)
-        _schedule_group(state, entry)
+        if entry.isolated:
+            planisolation.schedule_isolated_group(state, entry)
+        else:
+            _schedule_group(state, entry)
     return Plan(state.starts, state.stops, state.blocked)
 
 
 def _get_sort_key(entry: planstate.WaitingGroup) -> tuple:
     late = entry.slack_ms < 0 and not entry.guaranteed
     return (
-        entry.job.priority,
+        # An empty worker is rarely left over by other groups.
+        0 if entry.isolated else entry.job.priority,
+        entry.isolated,
         # Another group would take the capacity that is freed for this one,
         # for which more tasks would then be stopped.
         not entry.preempting,
@@ -83,9 +93,9 @@
 
 def _may_use_headroom(entry: planstate.WaitingGroup) -> bool:
     """Return whether a group may use what is kept free for priority 0."""
-    if entry.job.priority == 1:
+    if entry.job.priority == 1 and not entry.isolated:
         return 0 <= entry.slack_ms < _HEADROOM_SLACK_MS
-    return entry.job.priority == 0
+    return entry.job.priority == 0 or entry.isolated
 
 
 def _reserve_headroom(
--- a/packages/core/src/cyclamenshelf_core/taskprogress.py
+++ b/packages/core/src/cyclamenshelf_core/taskprogress.py
@@ -33,11 +33,16 @@
             under its task 0. The run numbers are stored instead of a count,
             so that an end that a worker reports again after a failover is
             not counted twice.
+        lost_runs: Numbers of the runs whose worker was lost and may have
+            crashed because of them; by task as in `failed_runs`.
         checkpoints: Latest checkpoint by task; that of a gang under its
             task 0.
         workers: Workers that may run tasks of the job. A worker is stored
             here before it is sent a task, so that the next owner knows which
             workers to poll before it starts the task elsewhere.
+        assigned_runs: Numbers of the runs that these workers may run, by
+            worker and task, so that the next owner knows which tasks a
+            worker was lost with.
         ended_ms: Unix time at which the job ended; 0 while it has not.
     """
 
@@ -48,8 +53,10 @@
         self.state = State.QUEUED
         self.done: dict[taskjobs.Group, set[int]] = {}
         self.failed_runs: dict[taskjobs.Task, set[int]] = {}
+        self.lost_runs: dict[taskjobs.Task, set[int]] = {}
         self.checkpoints: dict[taskjobs.Task, str] = {}
         self.workers: set[str] = set()
+        self.assigned_runs: dict[str, dict[taskjobs.Task, int]] = {}
         self.ended_ms = 0
 
 
@@ -112,9 +119,14 @@
                 f"{group.occurrence}.{group.step}": sorted(indexes)
                 for group, indexes in progress.done.items()
             },
-            "failed_runs": {
-                _format_task_key(task): sorted(runs)
-                for task, runs in progress.failed_runs.items()
+            "failed_runs": _encode_run_sets(progress.failed_runs),
+            "lost_runs": _encode_run_sets(progress.lost_runs),
+            "assigned_runs": {
+                worker_id: {
+                    _format_task_key(task): number
+                    for task, number in runs.items()
+                }
+                for worker_id, runs in progress.assigned_runs.items()
             },
             "checkpoints": {
                 _format_task_key(task): text
@@ -136,13 +148,36 @@
         occurrence, step = map(int, name.split("."))
         group = taskjobs.Group(job_id, occurrence, step)
         progress.done[group] = set(indexes)
-    for name, runs in row["failed_runs"].items():
-        progress.failed_runs[_parse_task_key(job_id, name)] = set(runs)
+    progress.failed_runs = _decode_run_sets(job_id, row["failed_runs"])
+    # Rows of earlier versions lack the following two fields.
+    progress.lost_runs = _decode_run_sets(job_id, row.get("lost_runs", {}))
+    for worker_id, runs in row.get("assigned_runs", {}).items():
+        progress.assigned_runs[worker_id] = {
+            _parse_task_key(job_id, name): number
+            for name, number in runs.items()
+        }
     for name, text in row["checkpoints"].items():
         progress.checkpoints[_parse_task_key(job_id, name)] = text
     return progress
 
 
+def _encode_run_sets(
+    runs_by_task: dict[taskjobs.Task, set[int]],
+) -> dict[str, list[int]]:
+    return {
+        _format_task_key(task): sorted(runs)
+        for task, runs in runs_by_task.items()
+    }
+
+
+def _decode_run_sets(
+    job_id: str, value: dict[str, list[int]]
+) -> dict[taskjobs.Task, set[int]]:
+    return {
+        _parse_task_key(job_id, name): set(runs) for name, runs in value.items()
+    }
+
+
 def _format_task_key(task: taskjobs.Task) -> str:
     return f"{task.group.occurrence}.{task.group.step}.{task.index}"
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
@@ -204,4 +204,5 @@
         info.capacity,
         suspect=bool(worker.failed_jobs),
         slow=slow,
+        started_ms=info.started_ms,
     )
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -1,11 +1,13 @@
 """The owner's table of jobs and of the runs allocated on workers."""
 
+import collections
 import enum
 from typing import Any
 
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_core import urgentdemand
+from cyclamenshelf_core import workerlosses
 from cyclamenshelf_core import workerspeeds
 from cyclamenshelf_daemon import logs
 
@@ -41,10 +43,16 @@
         stop_sent_ms: Monotonic time at which a stop was last sent.
         checkpoint: Latest checkpoint that the worker has listed.
         reason: Why it is being stopped.
+        isolated: Whether its worker gets no other tasks meanwhile.
     """
 
     def __init__(
-        self, task: taskjobs.Task, number: int, worker_id: str, now_ms: int
+        self,
+        task: taskjobs.Task,
+        number: int,
+        worker_id: str,
+        now_ms: int,
+        isolated: bool = False,
     ) -> None:
         self.task = task
         self.number = number
@@ -56,6 +64,7 @@
         self.stop_sent_ms: int | None = None
         self.checkpoint = ""
         self.reason = ""
+        self.isolated = isolated
 
 
 class JobEntry:
@@ -100,6 +109,10 @@
             occurrences of a job are counted together.
         run_count: Run numbers allocated so far.
         stops: Runs for which a stop has to be sent.
+        isolated_runs: Number of isolated runs by worker.
+        lost_workers: Workers that were lost, by the same key.
+        suspected_runs: Runs that were recorded as lost, by the worker and the
+            start time of its incarnation.
         speeds: Estimates of the workers' speeds.
         urgent_demand: Recent demand of priority 0.
     """
@@ -115,6 +128,11 @@
         self.step_counts: dict[StepKey, int] = {}
         self.run_count = 0
         self.stops: list[Run] = []
+        self.isolated_runs: collections.Counter[str] = collections.Counter()
+        self.lost_workers: dict[tuple[str, int], workerlosses.LostWorker] = {}
+        self.suspected_runs: dict[
+            tuple[str, int], list[tuple[taskjobs.Task, int]]
+        ] = {}
         self.speeds = workerspeeds.SpeedEstimates()
         self.urgent_demand = urgentdemand.UrgentDemand()
 
@@ -151,6 +169,7 @@
     need = get_need(ledger, run)
     used = ledger.used.get(run.worker_id, taskjobs.NO_RESOURCES)
     ledger.used[run.worker_id] = taskjobs.add(used, need)
+    ledger.isolated_runs[run.worker_id] += run.isolated
     key = _get_step_key(run)
     ledger.step_counts[key] = ledger.step_counts.get(key, 0) + 1
     job = ledger.jobs[run.task.group.job_id].job
@@ -169,8 +188,10 @@
     if run.worker_id in ledger.by_worker:
         used = ledger.used[run.worker_id]
         ledger.used[run.worker_id] = taskjobs.subtract(used, need)
+        ledger.isolated_runs[run.worker_id] -= run.isolated
     else:
         del ledger.used[run.worker_id]
+        del ledger.isolated_runs[run.worker_id]
     key = _get_step_key(run)
     ledger.step_counts[key] -= 1
     if not ledger.step_counts[key]:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -162,10 +162,8 @@
     return max(1, min(_TICK_MS, left_ms))
 
 
-def _list_blocked_jobs(owner: ownerstate.Owner, now_ms: int) -> set[str]:
+def _list_blocked_jobs(owner: ownerstate.Owner) -> set[str]:
     """Return the jobs that may have tasks running on unconfirmed workers."""
-    if now_ms >= owner.unconfirmed_until_ms:
-        owner.unconfirmed_workers.clear()
     if not owner.unconfirmed_workers:
         return set()
     return {
@@ -203,8 +201,7 @@
 
 
 def _decide(owner: ownerstate.Owner) -> None:
-    clock = owner.context.clock
-    times = planning.Times(clock.now_ms(), clock.wall_ms())
+    times = ownerstate.read_times(owner)
     lists = owner.context.get_lists()
     capacities = planning.list_free_capacity(
         owner.ledger, owner.workers.values(), times.now_ms
@@ -213,7 +210,7 @@
         owner.ledger,
         lists,
         times,
-        _list_blocked_jobs(owner, times.now_ms),
+        _list_blocked_jobs(owner),
     )
     waiting = [owneradvice.restrict_workers(owner, entry) for entry in waiting]
     if not waiting:
@@ -226,6 +223,7 @@
         capacities,
         owner.ledger.step_counts,
         urgentdemand.compute_headroom(owner.ledger.urgent_demand, times.now_ms),
+        planning.count_isolated_workers(owner.ledger),
     )
     stopmetrics.record_plan(
         owner.context.registry, owner.ledger, decision, held, times.now_ms
@@ -264,12 +262,14 @@
         step=start.group.step,
         tasks=len(start.placements),
         run=number,
+        isolated=start.isolated,
         spare_ms=slack_ms,
         age_ms=owner.context.clock.wall_ms() - entry.job.accepted_ms,
     )
     for index, worker_id in start.placements:
         task = taskjobs.Task(start.group, index)
         ledgers.add_run(
-            owner.ledger, ledgers.Run(task, number, worker_id, now_ms)
+            owner.ledger,
+            ledgers.Run(task, number, worker_id, now_ms, start.isolated),
         )
     entry.dirty = True
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerrows.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerrows.py
@@ -58,11 +58,20 @@
 def _update_job_workers(
     owner: ownerstate.Owner, entry: ledgers.JobEntry
 ) -> None:
-    """Update the set of workers that may run tasks of a job."""
+    """Update the workers that may run tasks of a job, and these runs."""
     unconfirmed = entry.progress.workers & owner.unconfirmed_workers
     entry.progress.workers = unconfirmed | ledgers.list_job_workers(
         owner.ledger, entry.job.id
     )
+    assigned = {
+        worker_id: runs
+        for worker_id, runs in entry.progress.assigned_runs.items()
+        if worker_id in unconfirmed
+    }
+    for run in ledgers.list_job_runs(owner.ledger, entry.job.id):
+        task = taskprogress.get_representative(entry.job, run.task)
+        assigned.setdefault(run.worker_id, {})[task] = run.number
+    entry.progress.assigned_runs = assigned
 
 
 def _add_removals(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
@@ -88,7 +88,12 @@
         # Delayed groups and occurrences become due without an event.
         owner.changed = True
     for worker in list(owner.workers.values()):
-        if reports.requeue_expired(owner.ledger, worker, now_ms):
+        if reports.requeue_expired(
+            owner.ledger,
+            worker,
+            owner.workers.values(),
+            ownerstate.read_times(owner),
+        ):
             owner.changed = True
     for run in owner.ledger.runs.values():
         if (
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -14,6 +14,7 @@
 from cyclamenshelf_daemon.tasks import links
 from cyclamenshelf_daemon.tasks import orders
 from cyclamenshelf_daemon.tasks import ownership
+from cyclamenshelf_daemon.tasks import planning
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import submission
@@ -104,6 +105,12 @@
         self.orders: orders.OrderContext | None = None
 
 
+def read_times(owner: Owner) -> planning.Times:
+    """Return the current time on both clocks."""
+    clock = owner.context.clock
+    return planning.Times(clock.now_ms(), clock.wall_ms())
+
+
 def post(owner: Owner, call: Callable[[], None]) -> None:
     """Queue a function to be called in the owner's thread."""
     owner.calls.put(call)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
@@ -5,9 +5,9 @@
 from cyclamenshelf_daemon.tasks import following
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import links
+from cyclamenshelf_daemon.tasks import lostworkers
 from cyclamenshelf_daemon.tasks import orders
 from cyclamenshelf_daemon.tasks import ownerstate
-from cyclamenshelf_daemon.tasks import planning
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import reports
 
@@ -49,6 +49,7 @@
 
 def check_worker_timeouts(owner: ownerstate.Owner) -> None:
     """Synchronise with the list again if that is due."""
+    _expire_unconfirmed_workers(owner)
     due_ms = owner.synced_ms + _SYNC_INTERVAL_MS
     if (
         owner.listed_workers is not None
@@ -57,6 +58,21 @@
         _sync_workers(owner)
 
 
+def _expire_unconfirmed_workers(owner: ownerstate.Owner) -> None:
+    """Stop waiting for workers on which no earlier task can run any more."""
+    times = ownerstate.read_times(owner)
+    if times.now_ms < owner.unconfirmed_until_ms:
+        return
+    for worker_id in owner.unconfirmed_workers:
+        lostworkers.give_up(
+            owner.ledger,
+            lostworkers.record_unconfirmed_worker(owner.ledger, worker_id),
+            times.wall_ms,
+        )
+        owner.changed = True
+    owner.unconfirmed_workers.clear()
+
+
 def _sync_workers(owner: ownerstate.Owner) -> None:
     """Synchronise the owner's workers with the list."""
     now_ms = owner.context.clock.now_ms()
@@ -66,7 +82,7 @@
         if worker is None:
             _add_worker(owner, info)
         else:
-            _update_worker(owner, worker, info, now_ms)
+            _update_worker(owner, worker, info)
     for worker_id, worker in list(owner.workers.items()):
         if worker_id in owner.listed_workers:
             continue
@@ -111,14 +127,12 @@
     owner: ownerstate.Owner,
     worker: fleet.Worker,
     info: ports.WorkerInfo,
-    now_ms: int,
 ) -> None:
     worker.unlisted_ms = None
     if info.started_ms < worker.info.started_ms:
         return  # An entry of an earlier incarnation.
     if info.started_ms > worker.info.started_ms:
-        reports.record_restart(owner.ledger, worker, info.started_ms, now_ms)
-        owner.changed = True
+        _record_restart(owner, worker, info.started_ms)
     if info.address != worker.info.address:
         worker.closing.set()
         worker.wake.set()
@@ -138,6 +152,19 @@
         _evacuate_worker(owner, worker)
 
 
+def _record_restart(
+    owner: ownerstate.Owner, worker: fleet.Worker, started_ms: int
+) -> None:
+    reports.record_restart(
+        owner.ledger,
+        worker,
+        owner.workers.values(),
+        started_ms,
+        ownerstate.read_times(owner),
+    )
+    owner.changed = True
+
+
 def _evacuate_worker(owner: ownerstate.Owner, worker: fleet.Worker) -> None:
     """Stop tasks that would not finish before a draining worker leaves.
 
@@ -164,7 +191,12 @@
         return
     if worker.last_response_ms is None and now_ms < owner.unconfirmed_until_ms:
         return
-    reports.requeue_expired(owner.ledger, worker, now_ms)
+    reports.requeue_expired(
+        owner.ledger,
+        worker,
+        owner.workers.values(),
+        ownerstate.read_times(owner),
+    )
     worker.closing.set()
     worker.wake.set()
     worker.stored.set()
@@ -183,20 +215,16 @@
     """Apply the running and ended tasks that a worker lists."""
     if owner.workers.get(worker.info.id) is not worker:
         return
-    now_ms = owner.context.clock.now_ms()
     if response.started_ms < worker.info.started_ms:
         return
     if response.started_ms > worker.info.started_ms:
-        reports.record_restart(
-            owner.ledger, worker, response.started_ms, now_ms
-        )
-        owner.changed = True
+        _record_restart(owner, worker, response.started_ms)
     changed = reports.apply_response(
         owner.ledger,
         worker,
         sent_ms,
         response,
-        planning.Times(now_ms, owner.context.clock.wall_ms()),
+        ownerstate.read_times(owner),
         lambda worker, name, number: orders.send_orphan_stop(
             owner.orders, worker, name, number
         ),
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -11,9 +11,11 @@
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_core import urgentdemand
 from cyclamenshelf_core import victimcosts
+from cyclamenshelf_core import workerlosses
 from cyclamenshelf_core import workerspeeds
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
+from cyclamenshelf_daemon.tasks import lostworkers
 from cyclamenshelf_daemon.tasks import queues
 
 # Time that a start from a checkpoint loses.
@@ -51,8 +53,9 @@
         for group in _list_runnable_groups(entry, times.wall_ms):
             if entry.not_before_ms.get(group, 0) > times.now_ms:
                 continue
-            indexes = _list_startable_tasks(ledger, entry, group)
-            if indexes:
+            for indexes, isolated in _list_startable_tasks(
+                ledger, entry, group
+            ):
                 waiting.append(
                     planstate.WaitingGroup(
                         _apply_queue_settings(entry.job, lists),
@@ -61,6 +64,7 @@
                         _compute_slack_ms(entry, group, times.wall_ms),
                         entry.job.id in guaranteed_jobs,
                         preempting=group in entry.preempting,
+                        isolated=isolated,
                     )
                 )
     return waiting
@@ -122,9 +126,15 @@
         )
         for worker in workers
         if fleet.find_obstacle(worker, now_ms) is None
+        and not ledger.isolated_runs[worker.info.id]
     }
 
 
+def count_isolated_workers(ledger: ledgers.Ledger) -> int:
+    """Return the number of workers that run isolated tasks."""
+    return sum(1 for runs in ledger.isolated_runs.values() if runs)
+
+
 def record_urgent_demand(
     ledger: ledgers.Ledger, waiting: list[planstate.WaitingGroup], now_ms: int
 ) -> None:
@@ -196,17 +206,34 @@
 
 def _list_startable_tasks(
     ledger: ledgers.Ledger, entry: ledgers.JobEntry, group: taskjobs.Group
-) -> tuple[int, ...]:
+) -> list[tuple[tuple[int, ...], bool]]:
+    """Return the tasks of a group that can start together.
+
+    Returns:
+        Indexes of tasks, and whether they need workers of their own. Each task
+        that does is listed separately, unless it is the member of a gang.
+    """
     step = entry.job.steps[group.step]
     live = {task.index for task in ledger.by_group.get(group, ())}
     if step.gang and live:
-        return ()
+        return []
     done = entry.progress.done.get(group, set())
-    return tuple(
+    indexes = [
         index
         for index in range(step.tasks)
         if index not in done and index not in live
-    )
+    ]
+    suspected = [
+        index
+        for index in (indexes if entry.progress.lost_runs else ())
+        if workerlosses.needs_isolation(
+            lostworkers.count_losses(entry, taskjobs.Task(group, index))
+        )
+    ]
+    if step.gang and suspected:
+        return [(tuple(indexes), True)]
+    usual = tuple(index for index in indexes if index not in suspected)
+    return [(usual, False)] * bool(usual) + [((i,), True) for i in suspected]
 
 
 def _apply_queue_settings(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
@@ -1,13 +1,16 @@
 """Apply the responses of workers to the renewal of their leases."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
+from cyclamenshelf_core import workerlosses
 from cyclamenshelf_core import workerspeeds
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
+from cyclamenshelf_daemon.tasks import lostworkers
 from cyclamenshelf_daemon.tasks import planning
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import runends
@@ -34,6 +37,7 @@
         stop_orphan: Called with each run that the owner does not need.
     """
     fleet.record_response(worker, response.clock_ms, times.now_ms)
+    lostworkers.withdraw_losses(ledger, worker)
     ended_keys = {(end.name, end.run) for end in response.ended}
     previous_number = worker.applied_number
     for end in sorted(response.ended):
@@ -52,7 +56,11 @@
 
 
 def record_restart(
-    ledger: ledgers.Ledger, worker: fleet.Worker, started_ms: int, now_ms: int
+    ledger: ledgers.Ledger,
+    worker: fleet.Worker,
+    workers: Iterable[fleet.Worker],
+    started_ms: int,
+    times: planning.Times,
 ) -> None:
     """Record that a worker has restarted and has lost its earlier runs.
 
@@ -66,6 +74,9 @@
         born_ms=started_ms,
         previous_ms=worker.info.started_ms,
     )
+    given_up = lostworkers.record_lost_worker(
+        ledger, worker, workers, times.now_ms
+    )
     worker.info = worker.info._replace(started_ms=started_ms)
     worker.applied_number = worker.stored_number = 0
     worker.lease_until_ms = 0
@@ -75,23 +86,33 @@
         if run.phase is ledgers.Phase.PLANNED:
             ledgers.remove_run(ledger, run)
         elif run.acked_ms is not None:
-            runends.requeue_run(ledger, run, now_ms, "worker_reborn")
+            runends.requeue_run(ledger, run, times.now_ms, "worker_reborn")
         else:
             ledgers.mark_unacknowledged(ledger, run)
+    lostworkers.give_up(ledger, given_up, times.wall_ms)
 
 
 def requeue_expired(
-    ledger: ledgers.Ledger, worker: fleet.Worker, now_ms: int
+    ledger: ledgers.Ledger,
+    worker: fleet.Worker,
+    workers: Iterable[fleet.Worker],
+    times: planning.Times,
 ) -> bool:
     """Requeue the runs of an unresponsive worker whose lease has expired."""
-    if not fleet.is_unresponsive(worker, now_ms):
+    if not fleet.is_unresponsive(worker, times.now_ms):
         return False
-    if now_ms < fleet.get_lease_expiry_ms(worker):
+    if times.now_ms < fleet.get_lease_expiry_ms(worker):
         return False
     runs = ledgers.list_worker_runs(ledger, worker.info.id)
+    if not runs:
+        return False
+    given_up = lostworkers.record_lost_worker(
+        ledger, worker, workers, times.now_ms
+    )
     for run in runs:
-        runends.requeue_run(ledger, run, now_ms, "lease_lapsed")
-    return bool(runs)
+        runends.requeue_run(ledger, run, times.now_ms, "lease_lapsed")
+    lostworkers.give_up(ledger, given_up, times.wall_ms)
+    return True
 
 
 def _apply_running_task(
@@ -118,7 +139,13 @@
     if run is not None or job_ended or task_done:
         _record_orphan(worker, running, step.need, stop_orphan)
         return
-    run = ledgers.Run(task, running.run, worker.info.id, times.now_ms)
+    run = ledgers.Run(
+        task,
+        running.run,
+        worker.info.id,
+        times.now_ms,
+        workerlosses.needs_isolation(lostworkers.count_losses(entry, task)),
+    )
     _update_run(run, running, times.now_ms)
     ledgers.add_run(ledger, run)
     logs.log_event(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/runends.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/runends.py
@@ -124,6 +124,7 @@
     recorded_task = taskprogress.get_representative(entry.job, task)
     entry.progress.checkpoints.pop(recorded_task, None)
     entry.progress.failed_runs.pop(recorded_task, None)
+    entry.progress.lost_runs.pop(recorded_task, None)
     entry.dirty = True
     run = ledger.runs.get(task)
     if run is not None and not step.gang:
--- a/testing/daemon/tasks/conftest.py
+++ b/testing/daemon/tasks/conftest.py
@@ -66,6 +66,16 @@
         self.infos_by_value[value] = worker.info
         self.fake_store.put(WORKERS_TABLE, worker.info.id, value)
 
+    def replace_worker(self, worker):
+        """Take a worker away, and list another one of its rack instead."""
+        worker.unresponsive = True
+        self.unlist_worker(worker)
+        other = fakefleet.FakeWorker(f"w{len(self.workers)}", worker.info.rack)
+        other.crashing = worker.crashing
+        self.workers.append(other)
+        self.list_worker(other)
+        return other
+
     def unlist_worker(self, worker):
         key = ports.RowKey(WORKERS_TABLE, worker.info.id)
         self.fake_store.commit(ports.Transaction({}, {}, (key,)), 1_000)
--- a/testing/daemon/tasks/fakefleet.py
+++ b/testing/daemon/tasks/fakefleet.py
@@ -26,6 +26,7 @@
         delay_starts: How many of the next starts go to `delayed_starts`.
         refuse: Refusal with which starts are rejected; None to accept them.
         start_errors: Exceptions that the next starts raise.
+        crashing: Prefixes of tasks whose start crashes the worker.
         tickets: Tickets that a start may carry; None if it needs none.
         started: Names, numbers and checkpoints of all started runs, in order.
         highest_closed_runs: Highest run number that has ended or was stopped,
@@ -50,6 +51,7 @@
         self.delayed_starts = []
         self.refuse = None
         self.start_errors = []
+        self.crashing = ()
         self.tickets = None
         self.started = []
         self.lock = threading.Lock()
@@ -107,6 +109,8 @@
                 return ports.Refusal.OLD
             self.running[order.name] = order.run
             self.started.append((order.name, order.run, order.checkpoint))
+            if order.name.startswith(tuple(self.crashing)):
+                self.unresponsive = True
             return None
 
     def start(self, order, timeout_ms):
@@ -168,15 +172,18 @@
 
 def make_workers(workers):
     """Return a client that sends orders to the workers by their ids."""
-    by_id = {worker.info.id: worker for worker in workers}
+
+    def find(worker_id):
+        return next(w for w in workers if w.info.id == worker_id)
+
     return ports.WorkerClient(
         connect=lambda info: ports.WorkerConnection(
-            by_id[info.id].renew, lambda: None
+            find(info.id).renew, lambda: None
         ),
-        start=lambda order, timeout_ms: by_id[order.worker.id].start(
+        start=lambda order, timeout_ms: find(order.worker.id).start(
             order, timeout_ms
         ),
-        stop=lambda order, timeout_ms: by_id[order.worker.id].stop(
+        stop=lambda order, timeout_ms: find(order.worker.id).stop(
             order, timeout_ms
         ),
     )
