Withdraw starts that no longer fit when they are sent

Cause: a start waits until its worker is stored with the job, about 20 ms, on a slow store for seconds. A worker whose capacity shrinks meanwhile was sent the start all the same (LIMIT, for a worker that does not guard its capacity).

Ruled out: the capacity of what is being stopped. It stays allocated until its end is listed; the test of it passes without this change.

Change: the capacity is checked again when the start is sent. A run that no longer fits is withdrawn, as after a start that was never sent.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
@@ -192,17 +192,33 @@
         slow: Whether tasks take longer on it than on others.
     """
     info = worker.info
-    free = taskjobs.subtract(info.capacity, held)
-    for need in worker.orphans.values():
-        free = taskjobs.subtract(free, need)
     return freecapacity.CandidateWorker(
         info.id,
         info.rack,
         info.labels,
         info.service,
-        free,
+        _compute_free(worker, held),
         info.capacity,
         suspect=bool(worker.failed_jobs),
         slow=slow,
         started_ms=info.started_ms,
     )
+
+
+def is_overcommitted(worker: Worker, held: taskjobs.Resources) -> bool:
+    """Return whether more is allocated on a worker than it now has.
+
+    Args:
+        worker: The worker, whose capacity may have shrunk.
+        held: Resources that are allocated to runs on it.
+    """
+    return min(_compute_free(worker, held)) < 0
+
+
+def _compute_free(
+    worker: Worker, held: taskjobs.Resources
+) -> taskjobs.Resources:
+    free = taskjobs.subtract(worker.info.capacity, held)
+    for need in worker.orphans.values():
+        free = taskjobs.subtract(free, need)
+    return free
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
@@ -118,6 +118,16 @@
     if worker is None:
         ownerstate.withdraw_run(owner, run, now_ms)
         return
+    if fleet.is_overcommitted(worker, owner.ledger.used[worker.info.id]):
+        logs.log_event(
+            "start_withdrawn",
+            task=taskjobs.format_task(run.task),
+            run=run.number,
+            worker=worker.info.id,
+            reason="capacity_shrunk",
+        )
+        ownerstate.withdraw_run(owner, run, now_ms)
+        return
     entry = owner.ledger.jobs[run.task.group.job_id]
     ticket = advice.get_ticket(owner.advice, run.task.group, worker, now_ms)
     if not ticket and owneradvice.get_advice_terms(owner, entry) is not None:
--- a/testing/daemon/tasks/conftest.py
+++ b/testing/daemon/tasks/conftest.py
@@ -135,6 +135,11 @@
         )
         return job_id
 
+    def cancel(self, job_id):
+        """Store the cancellation of a job as an entry host does."""
+        key = submission.make_cancel_key(job_id)
+        self.fake_store.commit(ports.Transaction({}, {key: b"{}"}), 1_000)
+
     def read(self, job_id):
         value = self.fake_store.value(jobstates.PROGRESS_TABLE, job_id)
         return taskprogress.decode_progress(job_id, value)
--- a/testing/daemon/tasks/fakefleet.py
+++ b/testing/daemon/tasks/fakefleet.py
@@ -26,6 +26,7 @@
         delay_starts: How many of the next starts go to `delayed_starts`.
         refuse: Refusal with which starts are rejected; None to accept them.
         start_errors: Exceptions that the next starts raise.
+        ignore_stops: Whether stops are acknowledged, and the tasks run on.
         crashing: Prefixes of tasks whose start crashes the worker.
         tickets: Tickets that a start may carry; None if it needs none.
         started: Names, numbers and checkpoints of all started runs, in order.
@@ -51,6 +52,7 @@
         self.delayed_starts = []
         self.refuse = None
         self.start_errors = []
+        self.ignore_stops = False
         self.crashing = ()
         self.tickets = None
         self.started = []
@@ -134,6 +136,8 @@
         with self.lock:
             if refusal := self._check_epoch(order.epoch):
                 return refusal
+            if self.ignore_stops:
+                return None
             if self.running.get(order.name) == order.run:
                 self._end(order.name, ports.EndKind.STOPPED, "00aa")
             self.highest_closed_runs[order.name] = max(
