Start nothing by a list of workers that is out of date

Cause: an owner that renews its lease but cannot read the list of workers went on with the entries that it had read last. Their capacity may have shrunk (LIMIT), or they may be shutting down.

Ruled out: a bound on the age of each entry. Workers write theirs again only when something changes.

Change: the owner decides nothing, and withdraws planned starts, while the list was last confirmed more than 2.5 s ago, the bound that holds for the operators' lists. decisions_suspended names the reason.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -36,8 +36,8 @@
 # The pause after a decision, as a multiple of its duration. It leaves time to
 # apply the responses of workers and to renew leases on large fleets.
 _PAUSE_FACTOR = 3
-# Delay before an owner without a proved lease checks the lease again.
-_UNPROVED_RETRY_MS = 50
+# Delay before an owner that may not start anything checks that again.
+_SUSPENDED_RETRY_MS = 50
 # Delay before a new owner checks again whether all workers have responded.
 _SETTLING_RETRY_MS = 10
 # Collects task ends and jobs that arrive together into one decision.
@@ -182,9 +182,10 @@
     if started_ms < owner.decided_ms + owner.pause_ms:
         return
     owner.decided_ms = started_ms
-    if not ownership.is_lease_valid(owner.tenure, clock):
-        waitreports.report_unproved_lease(owner.wait_reports, started_ms)
-        owner.pause_ms = _UNPROVED_RETRY_MS
+    obstacle = _find_obstacle(owner)
+    if obstacle is not None:
+        waitreports.report_suspension(owner.wait_reports, obstacle, started_ms)
+        owner.pause_ms = _SUSPENDED_RETRY_MS
         return
     if started_ms < owner.settle_until_ms and _awaits_workers(owner):
         owner.pause_ms = _SETTLING_RETRY_MS
@@ -194,6 +195,15 @@
     owner.pause_ms = _PAUSE_FACTOR * (clock.now_ms() - started_ms)
 
 
+def _find_obstacle(owner: ownerstate.Owner) -> str | None:
+    """Return why the owner may not start anything now, or None if it may."""
+    if not ownership.is_lease_valid(owner.tenure, owner.context.clock):
+        return "lease_unproved"
+    if not ownerstate.is_worker_list_current(owner):
+        return "workers_unconfirmed"
+    return None
+
+
 def _awaits_workers(owner: ownerstate.Owner) -> bool:
     return any(
         worker.last_response_ms is None for worker in owner.workers.values()
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
@@ -118,6 +118,9 @@
     if worker is None:
         ownerstate.withdraw_run(owner, run, now_ms)
         return
+    if not ownerstate.is_worker_list_current(owner):
+        ownerstate.withdraw_run(owner, run, now_ms)
+        return
     if fleet.is_overcommitted(worker, owner.ledger.used[worker.info.id]):
         logs.log_event(
             "start_withdrawn",
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -26,6 +26,8 @@
 # owner granted at the end of its tenure.
 _MIN_CLOCK_RATE = 0.98
 _HANDOVER_MARGIN_MS = 500
+# Nothing is started by a list of workers that is older.
+_MAX_LIST_AGE_MS = 2_500
 
 
 class OwnerContext(NamedTuple):
@@ -62,6 +64,7 @@
             have not responded in this epoch.
         unconfirmed_until_ms: Monotonic time from which no task of an earlier
             owner runs on a worker that has not responded.
+        workers_copy: Copy of the platform's list of workers.
         listed_workers: Workers in the platform's list by id; None before the
             list was read.
         settle_until_ms: Monotonic time until which the first decision waits
@@ -94,6 +97,7 @@
             + int(context.lease_ms / _MIN_CLOCK_RATE)
             + _HANDOVER_MARGIN_MS
         )
+        self.workers_copy = following.TableCopy(context.workers_table)
         self.listed_workers: dict[str, ports.WorkerInfo] | None = None
         self.settle_until_ms = 0
         self.synced_ms = 0
@@ -111,6 +115,18 @@
     return planning.Times(clock.now_ms(), clock.wall_ms())
 
 
+def is_worker_list_current(owner: Owner) -> bool:
+    """Return whether the list of workers was confirmed recently.
+
+    A worker may have shrunk or started to shut down since then.
+    """
+    confirmed_ms = owner.workers_copy.confirmed_ms
+    now_ms = owner.context.clock.now_ms()
+    return (
+        confirmed_ms is not None and now_ms - confirmed_ms <= _MAX_LIST_AGE_MS
+    )
+
+
 def post(owner: Owner, call: Callable[[], None]) -> None:
     """Queue a function to be called in the owner's thread."""
     owner.calls.put(call)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
@@ -19,13 +19,11 @@
 def follow_worker_list(owner: ownerstate.Owner, wait_ms: int) -> None:
     """Start the thread that follows the list of workers."""
     context = owner.context
+    owner.workers_copy.changed = lambda rows: ownerstate.post(
+        owner, lambda: _apply_list_rows(owner, rows)
+    )
     following.start_following(
-        following.TableCopy(
-            context.workers_table,
-            lambda rows: ownerstate.post(
-                owner, lambda: _apply_list_rows(owner, rows)
-            ),
-        ),
+        owner.workers_copy,
         context.store,
         context.clock,
         owner.tenure.ended,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/waitreports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/waitreports.py
@@ -44,13 +44,11 @@
         logs.log_event("groups_waiting", "WARNING", **fields)
 
 
-def report_unproved_lease(reports: WaitReports, now_ms: int) -> None:
-    """Log that nothing is decided because the owner's lease is not proved."""
+def report_suspension(reports: WaitReports, reason: str, now_ms: int) -> None:
+    """Log that the owner decides nothing, and why."""
     if _is_due(reports, "decisions_suspended", now_ms):
         reports.logged_ms["decisions_suspended"] = now_ms
-        logs.log_event(
-            "decisions_suspended", "WARNING", reason="lease_unproved"
-        )
+        logs.log_event("decisions_suspended", "WARNING", reason=reason)
 
 
 def describe_waiting_groups(
--- a/testing/daemon/tasks/fakestore.py
+++ b/testing/daemon/tasks/fakestore.py
@@ -18,6 +18,7 @@
             request is lost).
         before_commit: Called before each commit is applied.
         down: Whether all calls fail as if the store were unavailable.
+        unreadable_tables: Tables whose reads fail.
         history_from: Changes up to this version are no longer available.
     """
 
@@ -28,6 +29,7 @@
         self.commit_faults = []
         self.before_commit = lambda transaction: None
         self.down = False
+        self.unreadable_tables = set()
         self.history_from = 0
         self.commits = []
         self.changed = threading.Condition()
@@ -81,7 +83,7 @@
         return result._replace(rows=rows)
 
     def read(self, table, timeout_ms, part=""):
-        if self.down:
+        if self.down or table in self.unreadable_tables:
             raise errors.StoreUnavailableError("table", "down")
         with self.changed:
             rows = [
@@ -99,7 +101,7 @@
         ]
 
     def follow(self, table, version, wait_ms):
-        if self.down:
+        if self.down or table in self.unreadable_tables:
             raise errors.StoreUnavailableError("table", "down")
         with self.changed:
             if version < self.history_from:
--- a/testing/daemon/tasks/test_capacity.py
+++ b/testing/daemon/tasks/test_capacity.py
@@ -15,6 +15,8 @@
 SHRUNK = taskjobs.Resources(32_000, 64_000, 2)
 # Longer than an owner needs to decide again after any change.
 SETTLED_S = 0.5
+# Nothing may be started by an older list of workers.
+MAX_LIST_AGE_S = 2.5
 
 
 def set_capacity(cell, capacity):
@@ -126,3 +128,19 @@
         assert not any(name.startswith(job_id) for name in worker.running)
     cell.end_all(running)
     cell.wait_for_runs(job_id, 4)
+
+
+def test_nothing_is_started_by_an_outdated_list_of_workers(cell):
+    # The owner renewed its lease, could not read the list, and went on with
+    # capacities that workers no longer had.
+    cell.start_owner()
+    conftest.wait_until(
+        lambda: all(w.epoch == 1 for w in cell.workers), "workers respond"
+    )
+    cell.fake_store.unreadable_tables = {conftest.WORKERS_TABLE}
+    time.sleep(MAX_LIST_AGE_S + 0.5)
+    job_id = cell.submit(builders.make_step(1, 4))
+    time.sleep(SETTLED_S)
+    assert cell.list_runs(job_id) == []
+    cell.fake_store.unreadable_tables = set()
+    cell.wait_for_runs(job_id, 1)
