Decode the list of hosts entry by entry

One malformed entry in the product's own list of hosts made the whole list unreadable, and hosts went on with the last one: new hosts and leaving servers stayed unseen.

Change: each entry is decoded by its type; a malformed one is left out with a line at a bounded rate, and a host that was listed before stays as it was.

Figures: five new cases in test_hostlist.py failed before and pass.

--- a/packages/daemon/src/cyclamenshelf_daemon/hostlist.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/hostlist.py
@@ -6,9 +6,13 @@
 
 from collections.abc import Callable
 import threading
+from typing import Annotated
 from typing import Any
 from typing import NamedTuple
+from typing import NotRequired
+from typing import TypedDict
 
+import msgspec
 import urllib3
 
 from cyclamenshelf_core import clock as clocks
@@ -23,6 +27,8 @@
 _POLL_INTERVAL_MS = 1_000
 _CALL_TIMEOUT_MS = 1_000
 
+_Count = Annotated[int, msgspec.Meta(ge=0, le=jsontexts.MAX_NUMBER)]
+
 
 class Backend(NamedTuple):
     """A backend server as the host list describes it.
@@ -56,6 +62,24 @@
     entries: dict[str, EntryHost]
 
 
+class _Entry(TypedDict):
+    id: str
+    address: str
+    state: str
+
+
+class _WorkerEntry(_Entry):
+    data_centre: str
+    rack: str
+    accelerators: _Count
+
+
+class _BackendEntry(_Entry):
+    service: str
+    slots: _Count
+    incarnation: NotRequired[str | int]
+
+
 class HostList:
     """The last host list that was read.
 
@@ -76,6 +100,7 @@
         self.read_at_ms: int | None = None
         self.etag = ""
         self.observers: list[Callable[[Hosts], None]] = []
+        self.log_limiter = logs.EventLimiter()
 
 
 def start_polling(host_list: HostList) -> None:
@@ -100,7 +125,8 @@
             timeout_ms=_CALL_TIMEOUT_MS,
         )
         if result.status == 200:
-            hosts = _decode_hosts(jsontexts.decode(result.body)["hosts"])
+            entries = jsontexts.decode(result.body)["hosts"]
+            hosts = _decode_hosts(host_list, entries)
     except (
         httpclient.HttpFailureError,
         ValueError,
@@ -128,36 +154,63 @@
     host_list.clock.sleep_ms(max(0, _POLL_INTERVAL_MS - elapsed_ms))
 
 
-def _decode_hosts(hosts: list[dict[str, Any]]) -> Hosts:
-    return Hosts(
-        workers={
-            host["id"]: model.Worker(
-                host["id"],
-                host["address"],
-                host["data_centre"],
-                host["rack"],
-                host["accelerators"],
-            )
-            for host in hosts
-            if host["kind"] == "worker" and host["state"] == "live"
-        },
-        backends={
-            host["id"]: Backend(
-                host["id"],
-                host["address"],
-                host["service"],
-                host["slots"],
-                host["state"] == "leaving",
-                str(host.get("incarnation", "")),
+def _decode_hosts(host_list: HostList, entries: list[Any]) -> Hosts:
+    """Decode the entries one by one; one that is malformed changes nothing.
+
+    Another program may have written it. A host that was listed before stays
+    listed as it was.
+    """
+    hosts = Hosts({}, {}, {})
+    for entry in entries:
+        try:
+            _add_host(hosts, entry)
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            _keep_host(hosts, host_list.hosts, entry)
+            logs.log_limited(
+                host_list.log_limiter,
+                host_list.clock.now_ms(),
+                "host_entry_unreadable",
+                "WARNING",
+                detail=repr(error),
             )
-            for host in hosts
-            if host["kind"] == "backend"
-        },
-        entries={
-            host["id"]: EntryHost(
-                host["id"], host["address"], host["state"] == "leaving"
+    return hosts
+
+
+def _add_host(hosts: Hosts, entry: dict[str, Any]) -> None:
+    kind = entry["kind"]
+    if kind == "worker":
+        worker = msgspec.convert(entry, _WorkerEntry)
+        if worker["state"] == "live":
+            hosts.workers[worker["id"]] = model.Worker(
+                worker["id"],
+                worker["address"],
+                worker["data_centre"],
+                worker["rack"],
+                worker["accelerators"],
             )
-            for host in hosts
-            if host["kind"] == "entry"
-        },
-    )
+    elif kind == "backend":
+        backend = msgspec.convert(entry, _BackendEntry)
+        hosts.backends[backend["id"]] = Backend(
+            backend["id"],
+            backend["address"],
+            backend["service"],
+            backend["slots"],
+            backend["state"] == "leaving",
+            str(backend.get("incarnation", "")),
+        )
+    elif kind == "entry":
+        host = msgspec.convert(entry, _Entry)
+        hosts.entries[host["id"]] = EntryHost(
+            host["id"], host["address"], host["state"] == "leaving"
+        )
+    elif not isinstance(kind, str):
+        raise TypeError(f"expected a kind of host, got {kind!r}")
+
+
+def _keep_host(hosts: Hosts, previous: Hosts, entry: Any) -> None:
+    host_id = entry.get("id") if isinstance(entry, dict) else None
+    if not isinstance(host_id, str):
+        return
+    for known, kept in zip(previous, hosts, strict=True):
+        if host_id in known:
+            kept[host_id] = known[host_id]
--- a/testing/daemon/test_hostlist.py
+++ b/testing/daemon/test_hostlist.py
@@ -41,3 +41,27 @@
     platform.hosts_faults.update({"down": True})
     hostlist.refresh_hosts(host_list)
     assert set(host_list.hosts.workers) == {"w0", "w1"}
+
+
+@pytest.mark.parametrize(
+    "field",
+    [
+        {"accelerators": "many"},
+        {"accelerators": -1},
+        {"address": 7},
+        {"rack": None},
+        {"kind": ["worker"]},
+    ],
+)
+def test_odd_entry_leaves_the_others_and_its_host_as_they_were(
+    platform, host_list, field
+):
+    # One malformed entry kept the whole list from being read.
+    hostlist.refresh_hosts(host_list)
+    first = host_list.hosts
+    platform.hosts.hosts["odd"] = {"id": 5, "kind": "worker"}
+    platform.hosts.hosts["w0"] |= field
+    platform.hosts.hosts["b0"]["state"] = "leaving"
+    hostlist.refresh_hosts(host_list)
+    assert host_list.hosts.backends["b0"].leaving
+    assert host_list.hosts.workers == first.workers
