--- a/packages/core/src/cyclamenshelf_core/planisolation.py
+++ b/packages/core/src/cyclamenshelf_core/planisolation.py
@@ -49,7 +49,7 @@
     ]
     candidates.sort(
         key=lambda worker: (
-            _get_allocated(state, worker),
+            _rank_by_allocated(state, worker),
             worker.suspect,
             worker.started_ms,
             worker.id,
@@ -79,10 +79,9 @@
     return state.capacity.free[worker_id] == worker.total
 
 
-def _get_allocated(
+def _rank_by_allocated(
     state: planstate.PlanningState, worker: freecapacity.CandidateWorker
-) -> taskjobs.Resources:
+) -> tuple[int, int, int]:
+    """Return a sort key that is lowest for an empty worker."""
     used = taskjobs.subtract(worker.total, state.capacity.free[worker.id])
-    return taskjobs.Resources(
-        used.accelerators, used.cpu_millis, used.memory_mb
-    )
+    return (used.accelerators, used.cpu_millis, used.memory_mb)
--- a/testing/daemon/tasks/test_capacity.py
+++ b/testing/daemon/tasks/test_capacity.py
@@ -100,7 +100,7 @@
     for worker in cell.workers:
         worker.ignore_stops = True
     ledger = cell.owners[0].ledger
-    cancel = cell.submit(builders.make_step(1, 1))
+    waiting = cell.submit(builders.make_step(1, 1))
     set_capacity(cell, SHRUNK)
     cell.cancel(running)
     conftest.wait_until(
@@ -108,11 +108,11 @@
         "the stops are acknowledged",
     )
     time.sleep(SETTLED_S)
-    assert cell.list_runs(cancel) == []
+    assert cell.list_runs(waiting) == []
     for worker in cell.workers:
         worker.ignore_stops = False
     cell.end_all(running)
-    cell.wait_for_runs(cancel, 1)
+    cell.wait_for_runs(waiting, 1)
 
 
 def test_worker_that_shrank_below_its_tasks_gets_no_others(cell):
--- a/testing/daemon/tasks/test_lostworkers.py
+++ b/testing/daemon/tasks/test_lostworkers.py
@@ -5,6 +5,7 @@
 import pytest
 from testing.core import taskbuilders as builders
 from testing.daemon.tasks import conftest
+from testing.daemon.tasks import fakefleet
 
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_daemon.tasks import fleet
@@ -73,7 +74,7 @@
 def test_task_that_crashes_its_workers_is_given_up(cell, step):
     # Each start crashed another worker, without end.
     for number in range(2, 5):
-        cell.workers.append(type(cell.workers[0])(f"w{number}"))
+        cell.workers.append(fakefleet.FakeWorker(f"w{number}"))
         cell.list_worker(cell.workers[-1])
     cell.start_owner(LEASE_MS)
     job_id = submit_crashing_job(cell, step)
@@ -103,7 +104,7 @@
     job_id = cell.submit(builders.make_step(1, data_rack="r0"))
     cell.wait_for_runs(job_id, 1)
     time.sleep(0.1)
-    spare = type(cell.workers[0])("spare", "r0")
+    spare = fakefleet.FakeWorker("spare", "r0")
     cell.workers.append(spare)
     cell.list_worker(spare)
     conftest.wait_until(lambda: spare.epoch == 1, "the spare is called")
