Let isolated tasks use empty workers that nobody else takes

Cause: at most one worker in eight ran isolated tasks, so many suspected tasks waited for each other beside empty workers.

Change: one worker in eight is still the most that is kept from other tasks until it is empty; up to half of the workers may run isolated tasks if they are empty.

--- a/packages/core/src/cyclamenshelf_core/planisolation.py
+++ b/packages/core/src/cyclamenshelf_core/planisolation.py
@@ -4,8 +4,11 @@
 from cyclamenshelf_core import planstate
 from cyclamenshelf_core import taskjobs
 
-# At most one of this many workers is kept for isolated tasks.
-_WORKERS_PER_ISOLATED = 8
+# At most one of this many workers is kept from other tasks until it is empty.
+_WORKERS_PER_KEPT = 8
+# At most one of this many workers runs isolated tasks. Empty workers are rare
+# on a busy fleet; on others, isolated tasks must not wait beside them.
+_WORKERS_PER_ISOLATED = 2
 
 
 def schedule_isolated_group(
@@ -18,11 +21,13 @@
     their tasks have ended.
     """
     chosen = _choose_workers(state, entry)
-    if not chosen or not _may_isolate(state, len(chosen)):
+    empty = all(_is_empty(state, worker_id) for worker_id in chosen)
+    share = _WORKERS_PER_ISOLATED if empty else _WORKERS_PER_KEPT
+    if not chosen or not _may_isolate(state, len(chosen), share):
         state.blocked.append(entry.group)
         return
     state.isolated += len(chosen)
-    if all(_is_empty(state, worker_id) for worker_id in chosen):
+    if empty:
         placed = [name for name, count in chosen.items() for _ in range(count)]
         planstate.start_tasks(state, entry, placed)
     else:
@@ -68,9 +73,11 @@
     return {}
 
 
-def _may_isolate(state: planstate.PlanningState, workers: int) -> bool:
-    """Return whether more workers may be kept; one group always may."""
-    limit = len(state.capacity.workers) // _WORKERS_PER_ISOLATED
+def _may_isolate(
+    state: planstate.PlanningState, workers: int, share: int
+) -> bool:
+    """Return whether more workers may be taken; one group always may."""
+    limit = len(state.capacity.workers) // share
     return state.isolated == 0 or state.isolated + workers <= limit
 
 
