Give each incarnation of a worker a record of its own

Cause: record_restart reset some fields of the worker's record and kept its clock reading. If the new entry was read before the first response of the new incarnation, the next renewal granted a lease by the old clock, whose end lies in the far future on the new one. Class: state that was learnt from one incarnation and is used for the next.

The log has no task_requeued of the runs, so that something else held them back is ruled out.

Change: a restarted worker gets a new record, of which only what concerns the entry in the list is kept. The thread that renews the lease sends nothing more by the old record, so ends of the new incarnation are not acknowledged by old numbers. A lease of unknown end is taken for the longest that a worker accepts: at a takeover, after a change of address and after a restart; before, these counted as no lease and tasks were started elsewhere at once. A worker gets no tasks before the entry of its incarnation is read. The speed estimate is dropped with the worker.

Tests of testing/daemon/tasks and testing/platform pass.

--- a/benchmarks/task_decisions.py
+++ b/benchmarks/task_decisions.py
@@ -86,7 +86,7 @@
         _CAPACITY,
         None,
     )
-    worker = fleet.Worker(info)
+    worker = fleet.Worker(info, max_lease_ms=6_000)
     fleet.record_response(worker, 1, _NOW_MS)
     return worker
 
--- a/benchmarks/taskreplay.py
+++ b/benchmarks/taskreplay.py
@@ -152,7 +152,7 @@
             load.capacity,
             None,
         )
-        workers[info.id] = fleet.Worker(info)
+        workers[info.id] = fleet.Worker(info, max_lease_ms=6_000)
     return workers
 
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
@@ -11,6 +11,9 @@
 # Slowest rate at which a worker's clock may run.
 _MIN_CLOCK_RATE = 0.98
 _EXPIRY_MARGIN_MS = 100
+# How long an order that was sent to an earlier incarnation may still be on its
+# way when the restart is recorded.
+_IN_FLIGHT_MS = 1_000
 # A worker that has not responded for this long gets no new tasks.
 _UNRESPONSIVE_MS = 2_200
 # Renewals per second for all idle workers together, and the time each takes.
@@ -31,6 +34,7 @@
 
     UNLISTED = "unlisted"
     UNREADABLE = "unreadable"
+    UNDESCRIBED = "undescribed"
     UNRESPONSIVE = "unresponsive"
     DRAINING = "draining"
     QUARANTINED = "quarantined"
@@ -39,7 +43,15 @@
 class Worker:
     """One incarnation of a worker as the owner sees it.
 
+    A restarted worker gets a new record, so that nothing learnt from the
+    earlier incarnation is used for the new one.
+
     Attributes:
+        max_lease_ms: Longest lease that a worker accepts. It shortens any
+            longer one, for example one on the clock of its last incarnation.
+        unknown_lease_until_ms: Monotonic time by which every lease has expired
+            whose end is not recorded here: those granted by earlier owners,
+            and by orders that were meant for an earlier incarnation.
         last_response_ms: Monotonic time of its last response in this tenure;
             None before the first one.
         clock_ms: The worker's own clock at that response.
@@ -53,13 +65,23 @@
         unlisted_ms: Monotonic time at which it left the list of workers.
         readable: Whether its entry in the list can be decoded; `info` is what
             the last one that could says.
+        described: Whether `info` is from an entry of this incarnation; before
+            that, its capacity and labels are those of the earlier one.
         orphans: Resources of runs on it that the owner does not need.
         failed_jobs: Jobs whose tasks failed on it since its last success.
         quarantined_until_ms: Monotonic time at which its quarantine ends.
+        closing: Set when the record is no longer used.
     """
 
-    def __init__(self, info: ports.WorkerInfo) -> None:
+    def __init__(
+        self,
+        info: ports.WorkerInfo,
+        max_lease_ms: int,
+        unknown_lease_until_ms: int = 0,
+    ) -> None:
         self.info = info
+        self.max_lease_ms = max_lease_ms
+        self.unknown_lease_until_ms = unknown_lease_until_ms
         self.last_response_ms: int | None = None
         self.clock_ms = 0
         self.lease_until_ms = 0
@@ -71,6 +93,7 @@
         self.wake = threading.Event()
         self.unlisted_ms: int | None = None
         self.readable = True
+        self.described = True
         self.orphans: dict[RunKey, taskjobs.Resources] = {}
         self.failed_jobs: list[str] = []
         self.quarantined_until_ms = 0
@@ -78,16 +101,57 @@
         self.lock = threading.Lock()
 
 
+def make_successor(
+    worker: Worker, info: ports.WorkerInfo, now_ms: int
+) -> Worker:
+    """Return the record that replaces one whose clock is no longer valid.
+
+    Only what is known of the worker's entry in the list is kept.
+
+    Args:
+        worker: The record to replace, which is closed.
+        info: What the worker says of itself since its restart, or of its new
+            address.
+        now_ms: The monotonic time.
+    """
+    close_worker(worker)
+    successor = Worker(
+        info, worker.max_lease_ms, _bound_unknown_lease(worker, now_ms)
+    )
+    successor.unlisted_ms = worker.unlisted_ms
+    successor.readable = worker.readable
+    return successor
+
+
+def close_worker(worker: Worker) -> None:
+    """End the thread of a record; no lease is granted by it any more."""
+    with worker.lock:
+        worker.closing.set()
+    worker.wake.set()
+    worker.stored.set()
+
+
+def _bound_unknown_lease(worker: Worker, now_ms: int) -> int:
+    """Return the monotonic time by which leases of unknown end have expired."""
+    return (
+        now_ms
+        + _IN_FLIGHT_MS
+        + int(worker.max_lease_ms / _MIN_CLOCK_RATE)
+        + _EXPIRY_MARGIN_MS
+    )
+
+
 def grant_lease(
     worker: Worker, clock: clocks.Clock, lease_ms: int
 ) -> int | None:
     """Return a new end of lease on the worker's clock.
 
-    Return None before the first response. The end is recorded before it is
-    sent, so the owner never assumes a shorter lease than the worker.
+    Return None before the first response and for a closed record. The end is
+    recorded before it is sent, so the owner never assumes a shorter lease than
+    the worker.
     """
     with worker.lock:
-        if worker.last_response_ms is None:
+        if worker.last_response_ms is None or worker.closing.is_set():
             return None
         estimate_ms = worker.clock_ms + clock.now_ms() - worker.last_response_ms
         worker.lease_until_ms = max(
@@ -112,6 +176,10 @@
 def record_response(worker: Worker, clock_ms: int, now_ms: int) -> None:
     """Record the clock of a worker that has just responded."""
     with worker.lock:
+        if worker.last_response_ms is None:
+            # It has seen the owner's epoch and accepts no order of an earlier
+            # owner any more.
+            worker.unknown_lease_until_ms = _bound_unknown_lease(worker, now_ms)
         worker.clock_ms, worker.last_response_ms = clock_ms, now_ms
         worker.paused_until_ms = now_ms + worker.pause_ms
 
@@ -126,12 +194,13 @@
 def get_lease_expiry_ms(worker: Worker) -> int:
     """Return the monotonic time by which its lease has certainly expired."""
     if worker.last_response_ms is None:
-        return 0
+        return worker.unknown_lease_until_ms
     left_ms = max(0, worker.lease_until_ms - worker.clock_ms)
-    return (
+    return max(
+        worker.unknown_lease_until_ms,
         worker.last_response_ms
         + int(left_ms / _MIN_CLOCK_RATE)
-        + _EXPIRY_MARGIN_MS
+        + _EXPIRY_MARGIN_MS,
     )
 
 
@@ -162,6 +231,8 @@
         return Obstacle.UNLISTED
     if not worker.readable:
         return Obstacle.UNREADABLE
+    if not worker.described:
+        return Obstacle.UNDESCRIBED
     if is_unresponsive(worker, now_ms):
         return Obstacle.UNRESPONSIVE
     if worker.info.draining_ms is not None:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -46,6 +46,7 @@
         workers_table: See `ownerstate.OwnerContext`.
         decode_worker: See `ownerstate.OwnerContext`.
         lease_ms: Duration of the leases of workers.
+        max_lease_ms: See `ownerstate.OwnerContext`.
         keep_ended_ms: How long the rows of ended jobs are kept.
         registry: Keeps the host's metrics.
         advise: See `ownerstate.OwnerContext`.
@@ -64,6 +65,7 @@
     workers_table: str
     decode_worker: Callable[[ports.Row], ports.WorkerInfo | None]
     lease_ms: int
+    max_lease_ms: int
     keep_ended_ms: int
     registry: metrics.Metrics
     advise: ports.Advise | None = None
@@ -104,6 +106,7 @@
         context.decode_worker,
         lambda: cached_lists.lists,
         context.lease_ms,
+        context.max_lease_ms,
         context.keep_ended_ms,
         context.registry,
         context.advise,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/links.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/links.py
@@ -98,6 +98,7 @@
                     "WARNING",
                     worker=worker.info.id,
                     detail=problem,
+                    lease_left_ms=fleet.get_lease_expiry_ms(worker) - now_ms,
                 )
     finally:
         connection.close()
@@ -149,6 +150,14 @@
         worker.closing.wait(_RETRY_PAUSE_MS / 1000)
         return response
     context.on_renewed(worker, sent_ms, response)
+    if response.started_ms > worker.info.started_ms:
+        # Renewals by this record would acknowledge ends by the numbers of the
+        # earlier incarnation; the owner now replaces it.
+        worker.closing.wait()
+        return None
+    if response.started_ms < worker.info.started_ms:
+        worker.closing.wait(_RETRY_PAUSE_MS / 1000)
+        return "earlier_incarnation"
     if any(end.number > worker.stored_number for end in response.ended):
         worker.stored.wait(_STORED_WAIT_MS / 1000)
     elif worker.pause_ms and not worker.closing.is_set():
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -109,9 +109,7 @@
         owner.tenure.ended.set()
         owner.batches.put(None)
         for worker in owner.workers.values():
-            worker.closing.set()
-            worker.stored.set()
-            worker.wake.set()
+            fleet.close_worker(worker)
         owner.pool.shutdown(wait=False, cancel_futures=True)
         logs.log_event("owner_ended", epoch=owner.tenure.epoch)
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -38,6 +38,7 @@
         decode_worker: Returns the worker of a row, or None if it names none.
         get_lists: Returns the lists in force.
         lease_ms: Length of the leases of workers.
+        max_lease_ms: Longest lease that a worker accepts.
         keep_ended_ms: How long the rows of ended jobs are kept.
         registry: Keeps the owner's metrics.
         advise: Requests which workers may run a step; None without a
@@ -51,6 +52,7 @@
     decode_worker: Callable[[ports.Row], ports.WorkerInfo | None]
     get_lists: Callable[[], queues.Lists]
     lease_ms: int
+    max_lease_ms: int
     keep_ended_ms: int
     registry: metrics.Metrics
     advise: ports.Advise | None = None
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
@@ -1,5 +1,6 @@
 """Workers of the owner: added, updated, drained and removed."""
 
+from cyclamenshelf_core import workerspeeds
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import following
@@ -137,9 +138,12 @@
 
 
 def _add_worker(owner: ownerstate.Owner, info: ports.WorkerInfo) -> None:
-    worker = fleet.Worker(info)
-    owner.workers[info.id] = worker
-    links.start_link(owner.links, worker)
+    _use_record(
+        owner,
+        fleet.Worker(
+            info, owner.context.max_lease_ms, owner.unconfirmed_until_ms
+        ),
+    )
     logs.log_event(
         "worker_listed",
         worker=info.id,
@@ -158,14 +162,14 @@
     if info.started_ms < worker.info.started_ms:
         return  # An entry of an earlier incarnation.
     if info.started_ms > worker.info.started_ms:
-        _record_restart(owner, worker, info.started_ms)
+        _record_restart(owner, worker, info)
+        return
     if info.address != worker.info.address:
-        worker.closing.set()
-        worker.wake.set()
-        replacement = fleet.Worker(info)
-        owner.workers[info.id] = replacement
-        links.start_link(owner.links, replacement)
+        _replace_record(owner, worker, info)
         return
+    if not worker.described:
+        worker.described = True
+        owner.changed = True
     starts_draining = (
         info.draining_ms is not None and worker.info.draining_ms is None
     )
@@ -178,17 +182,45 @@
         _evacuate_worker(owner, worker)
 
 
+def _use_record(owner: ownerstate.Owner, worker: fleet.Worker) -> None:
+    """Use a new record of a worker, and start to renew its lease."""
+    owner.workers[worker.info.id] = worker
+    links.start_link(owner.links, worker)
+
+
+def _replace_record(
+    owner: ownerstate.Owner, worker: fleet.Worker, info: ports.WorkerInfo
+) -> fleet.Worker:
+    """Replace the record of a worker whose clock is no longer valid."""
+    now_ms = owner.context.clock.now_ms()
+    successor = fleet.make_successor(worker, info, now_ms)
+    _use_record(owner, successor)
+    owner.changed = True
+    return successor
+
+
 def _record_restart(
-    owner: ownerstate.Owner, worker: fleet.Worker, started_ms: int
-) -> None:
+    owner: ownerstate.Owner, worker: fleet.Worker, info: ports.WorkerInfo
+) -> fleet.Worker:
+    """Record a restart; return the record of the new incarnation."""
     reports.record_restart(
         owner.ledger,
         worker,
         owner.workers.values(),
-        started_ms,
+        info.started_ms,
         ownerstate.read_times(owner),
     )
-    owner.changed = True
+    return _replace_record(owner, worker, info)
+
+
+def _record_restart_before_entry(
+    owner: ownerstate.Owner, worker: fleet.Worker, started_ms: int
+) -> fleet.Worker:
+    """Record a restart of which the new entry has not been read yet."""
+    info = worker.info._replace(started_ms=started_ms, draining_ms=None)
+    successor = _record_restart(owner, worker, info)
+    successor.described = False
+    return successor
 
 
 def _evacuate_worker(owner: ownerstate.Owner, worker: fleet.Worker) -> None:
@@ -215,17 +247,14 @@
         return
     if now_ms < fleet.get_lease_expiry_ms(worker):
         return
-    if worker.last_response_ms is None and now_ms < owner.unconfirmed_until_ms:
-        return
     reports.requeue_expired(
         owner.ledger,
         worker,
         owner.workers.values(),
         ownerstate.read_times(owner),
     )
-    worker.closing.set()
-    worker.wake.set()
-    worker.stored.set()
+    fleet.close_worker(worker)
+    workerspeeds.forget_worker(owner.ledger.speeds, worker.info.id)
     del owner.workers[worker.info.id]
     owner.unconfirmed_workers.discard(worker.info.id)
     owner.changed = True
@@ -244,7 +273,9 @@
     if response.started_ms < worker.info.started_ms:
         return
     if response.started_ms > worker.info.started_ms:
-        _record_restart(owner, worker, response.started_ms)
+        worker = _record_restart_before_entry(
+            owner, worker, response.started_ms
+        )
     changed = reports.apply_response(
         owner.ledger,
         worker,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
@@ -64,6 +64,8 @@
 ) -> None:
     """Record that a worker has restarted and has lost its earlier runs.
 
+    The caller replaces the worker's record afterwards.
+
     An unacknowledged start may still reach the new incarnation, so such a
     run stays allocated until a stop for it has been acknowledged.
     """
@@ -77,10 +79,6 @@
     given_up = lostworkers.record_lost_worker(
         ledger, worker, workers, times.now_ms
     )
-    worker.info = worker.info._replace(started_ms=started_ms)
-    worker.applied_number = worker.stored_number = 0
-    worker.lease_until_ms = 0
-    worker.orphans.clear()
     workerspeeds.forget_worker(ledger.speeds, worker.info.id)
     for run in ledgers.list_worker_runs(ledger, worker.info.id):
         if run.phase is ledgers.Phase.PLANNED:
--- a/testing/daemon/tasks/conftest.py
+++ b/testing/daemon/tasks/conftest.py
@@ -114,6 +114,7 @@
             lambda row: self.infos_by_value.get(row.value),
             lambda: self.lists,
             lease_ms,
+            lease_ms,
             60_000,
             self.registry,
             self.advise,
--- a/testing/daemon/tasks/fakefleet.py
+++ b/testing/daemon/tasks/fakefleet.py
@@ -6,6 +6,7 @@
 """
 
 import threading
+import time
 
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_daemon.tasks import ports
@@ -17,6 +18,8 @@
     """A worker with injectable faults.
 
     Attributes:
+        uptime_ms: How long it had been up when this object was made or when
+            it last restarted; its clock counts from its start.
         unresponsive: Whether it ignores all requests.
         replaced: Whether another worker responds at its address.
         lose_starts: How many of the next starts are executed, but their
@@ -45,6 +48,7 @@
             CAPACITY,
             None,
         )
+        self.uptime_ms = 1_000
         self.unresponsive = False
         self.replaced = False
         self.lose_starts = 0
@@ -60,6 +64,7 @@
         self.reset()
 
     def reset(self):
+        self.reset_at = time.monotonic()
         self.epoch = 0
         self.running = {}
         self.ended = []
@@ -70,8 +75,12 @@
         """Restart under the same id, losing all state."""
         with self.lock:
             self.info = self.info._replace(started_ms=self.info.started_ms + 1)
+            self.uptime_ms = 0
             self.reset()
 
+    def read_clock_ms(self):
+        return self.uptime_ms + int((time.monotonic() - self.reset_at) * 1_000)
+
     def end(self, name, kind=ports.EndKind.DONE, checkpoint=""):
         """End a run."""
         with self.lock:
@@ -164,7 +173,7 @@
             ]
             return ports.RenewalResponse(
                 self.info.started_ms,
-                1_000,
+                self.read_clock_ms(),
                 tuple(
                     ports.RunningTask(name, run, "")
                     for name, run in self.running.items()
--- a/testing/daemon/tasks/test_advice.py
+++ b/testing/daemon/tasks/test_advice.py
@@ -133,7 +133,8 @@
     worker = fleet.Worker(
         ports.WorkerInfo(
             "w0", 5, "w0:1", "s", "r", frozenset(), taskjobs.NO_RESOURCES, None
-        )
+        ),
+        max_lease_ms=6_000,
     )
     advice.request_advice(tenure_advice, GROUP, (0, 0), [worker], TERMS, 1_000)
     response = ports.Recommendation({"w0": "t"}, 3_000)
--- a/testing/daemon/tasks/test_fleet.py
+++ b/testing/daemon/tasks/test_fleet.py
@@ -27,7 +27,7 @@
 @pytest.fixture
 def paused_worker():
     """A worker that responded at 1,000 ms and whose polling pauses for 5 s."""
-    worker = fleet.Worker(fakefleet.FakeWorker("w0").info)
+    worker = fleet.Worker(fakefleet.FakeWorker("w0").info, 6_000)
     worker.pause_ms = 5_000
     fleet.record_response(worker, 1, 1_000)
     return worker
--- a/testing/daemon/tasks/test_planning.py
+++ b/testing/daemon/tasks/test_planning.py
@@ -80,7 +80,8 @@
             frozenset(),
             builders.CAPACITY,
             None,
-        )
+        ),
+        max_lease_ms=6_000,
     )
     fleet.record_response(worker, NOW_MS, NOW_MS)
     return worker
--- a/testing/daemon/tasks/test_waitreports.py
+++ b/testing/daemon/tasks/test_waitreports.py
@@ -12,7 +12,7 @@
 
 
 def make_worker(worker_id, last_response_ms):
-    worker = fleet.Worker(fakefleet.FakeWorker(worker_id).info)
+    worker = fleet.Worker(fakefleet.FakeWorker(worker_id).info, 6_000)
     worker.last_response_ms = last_response_ms
     return worker
 
