Keep nothing free or guaranteed for work that no worker can run

Cause: the demand of priority 0, for which accelerators stay free, counted all waiting tasks. Class: demand that can never be met holds capacity. A later urgent job of an account also lost its guarantee to an earlier one that can never run. Ruled out: unusable workers (groups_waiting names all as usable), and stops and isolation for such work (no worker is eligible).

Change: feasibility answers whether a step can run on the fleet, were it empty: service, label, each resource of a task, spread, width of a gang. It is asked at each decision of the workers that are listed then. What can't run waits, takes no part in decisions and no guarantee, and is counted in groups_waiting as impossible.

--- a/benchmarks/task_decisions.py
+++ b/benchmarks/task_decisions.py
@@ -131,10 +131,11 @@
 ) -> taskplan.Plan:
     """Compute one plan as the owner does."""
     times = planning.Times(_NOW_MS, _NOW_MS)
+    planning.update_fleet(ledger, members)
     waiting = planning.list_waiting(ledger, _LISTS, times, set())
     planning.record_urgent_demand(ledger, waiting, _NOW_MS)
     return taskplan.plan(
-        waiting,
+        [entry for entry in waiting if planning.can_run(ledger, entry)],
         planning.list_allocations(ledger, _LISTS, _NOW_MS),
         planning.list_free_capacity(ledger, members, _NOW_MS),
         ledger.step_counts,
--- a/benchmarks/taskreplay.py
+++ b/benchmarks/taskreplay.py
@@ -172,12 +172,13 @@
 def _decide(state: _Replay) -> None:
     times = planning.Times(state.now_ms, state.now_ms)
     ledger, lists = state.ledger, state.lists
+    planning.update_fleet(ledger, state.workers.values())
     waiting = planning.list_waiting(ledger, lists, times, set())
     if not waiting:
         return
     planning.record_urgent_demand(ledger, waiting, state.now_ms)
     plan = taskplan.plan(
-        waiting,
+        [entry for entry in waiting if planning.can_run(ledger, entry)],
         planning.list_allocations(ledger, lists, state.now_ms),
         planning.list_free_capacity(
             ledger, state.workers.values(), state.now_ms
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -4,6 +4,7 @@
 import enum
 from typing import Any
 
+from cyclamenshelf_core import feasibility
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_core import urgentdemand
@@ -115,6 +116,7 @@
             start time of its incarnation.
         speeds: Estimates of the workers' speeds.
         urgent_demand: Recent demand of priority 0.
+        fleet: Workers by which it is decided whether work can ever run.
     """
 
     def __init__(self, epoch: int) -> None:
@@ -135,6 +137,7 @@
         ] = {}
         self.speeds = workerspeeds.SpeedEstimates()
         self.urgent_demand = urgentdemand.UrgentDemand()
+        self.fleet = feasibility.Fleet()
 
 
 def allocate_run_number(ledger: Ledger) -> int:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -217,6 +217,7 @@
 def _decide(owner: ownerstate.Owner) -> None:
     times = ownerstate.read_times(owner)
     lists = owner.context.get_lists()
+    planning.update_fleet(owner.ledger, owner.workers.values())
     capacities = planning.list_free_capacity(
         owner.ledger, owner.workers.values(), times.now_ms
     )
@@ -230,9 +231,11 @@
     if not waiting:
         return
     planning.record_urgent_demand(owner.ledger, waiting, times.now_ms)
+    runnable = [e for e in waiting if planning.can_run(owner.ledger, e)]
+    impossible = {e.group for e in waiting} - {e.group for e in runnable}
     held = planning.list_allocations(owner.ledger, lists, times.now_ms)
     decision = taskplan.plan(
-        waiting,
+        runnable,
         held,
         capacities,
         owner.ledger.step_counts,
@@ -244,7 +247,7 @@
     )
     planning.record_preempting_groups(owner.ledger, decision, times.now_ms)
     owneradvice.request_advice(
-        owner, waiting, set(decision.blocked), capacities
+        owner, runnable, set(decision.blocked), capacities
     )
     for stop in decision.stops:
         run = owner.ledger.runs.get(stop.task)
@@ -255,10 +258,11 @@
     slack_by_group = {entry.group: entry.slack_ms for entry in waiting}
     for start in decision.starts:
         _start_group(owner, start, slack_by_group[start.group], times.now_ms)
-    blocked = set(decision.blocked)
+    unstarted = impossible.union(decision.blocked)
     waitreports.report_waiting_groups(
         owner.log_limiter,
-        [entry for entry in waiting if entry.group in blocked],
+        [entry for entry in waiting if entry.group in unstarted],
+        impossible,
         owner.workers.values(),
         times,
     )
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from cyclamenshelf_core import feasibility
 from cyclamenshelf_core import freecapacity
 from cyclamenshelf_core import planstate
 from cyclamenshelf_core import taskjobs
@@ -70,6 +71,31 @@
     return waiting
 
 
+def update_fleet(
+    ledger: ledgers.Ledger, workers: Iterable[fleet.Worker]
+) -> None:
+    """Update the workers by which it is decided whether work can ever run.
+
+    A worker that is busy, quarantined or unresponsive will accept tasks again;
+    one that drains will not.
+    """
+    changed = feasibility.Fleet(
+        feasibility.WorkerKind(
+            worker.info.service, worker.info.labels, worker.info.capacity
+        )
+        for worker in workers
+        if worker.info.draining_ms is None
+    )
+    if changed.workers != ledger.fleet.workers:
+        ledger.fleet = changed
+
+
+def can_run(ledger: ledgers.Ledger, waiting: planstate.WaitingGroup) -> bool:
+    """Return whether a group can run on the fleet; see `feasibility`."""
+    step = waiting.job.steps[waiting.group.step]
+    return feasibility.can_run(ledger.fleet, waiting.job, step)
+
+
 def record_preempting_groups(
     ledger: ledgers.Ledger, plan: taskplan.Plan, now_ms: int
 ) -> None:
@@ -138,12 +164,22 @@
 def record_urgent_demand(
     ledger: ledgers.Ledger, waiting: list[planstate.WaitingGroup], now_ms: int
 ) -> None:
-    """Record how many accelerators priority 0 uses and waits for."""
+    """Record how many accelerators priority 0 uses and waits for.
+
+    Tasks that could not run beside those that run already ask for nothing.
+    """
     missing: collections.Counter[str] = collections.Counter()
     for entry in waiting:
         if entry.job.priority == 0:
-            need = entry.job.steps[entry.group.step].need
-            missing[entry.job.service] += need.accelerators * len(entry.indexes)
+            step = entry.job.steps[entry.group.step]
+            tasks = feasibility.count_startable(
+                ledger.fleet,
+                entry.job,
+                step,
+                len(entry.indexes),
+                len(ledger.by_group.get(entry.group, ())),
+            )
+            missing[entry.job.service] += step.need.accelerators * tasks
     urgentdemand.record_demand(ledger.urgent_demand, missing, now_ms)
 
 
@@ -153,7 +189,8 @@
     """Return the jobs of the highest priority that a guarantee covers.
 
     Jobs are covered in the order of their acceptance, as long as they fit in
-    the remaining guaranteed accelerators of their account.
+    the remaining guaranteed accelerators of their account. Steps that can
+    never run need none of these.
     """
     remaining = {account.name: account.guaranteed for account in lists.accounts}
     guaranteed_jobs: set[str] = set()
@@ -164,7 +201,11 @@
         and entry.progress.state not in taskprogress.ENDED
     ]
     for job in sorted(urgent, key=lambda job: (job.accepted_ms, job.id)):
-        required = sum(s.tasks * s.need.accelerators for s in job.steps)
+        required = sum(
+            step.tasks * step.need.accelerators
+            for step in job.steps
+            if feasibility.can_run(ledger.fleet, job, step)
+        )
         if 0 < required <= remaining.get(job.account, 0):
             remaining[job.account] -= required
             guaranteed_jobs.add(job.id)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/waitreports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/waitreports.py
@@ -16,6 +16,7 @@
 def report_waiting_groups(
     limiter: logs.EventLimiter,
     waiting: Iterable[planstate.WaitingGroup],
+    impossible: set[taskjobs.Group],
     workers: Iterable[fleet.Worker],
     times: planning.Times,
 ) -> None:
@@ -24,12 +25,13 @@
     Args:
         limiter: Limits the lines.
         waiting: The groups that a decision did not start completely.
+        impossible: Those of them that no worker of the fleet can run.
         workers: All workers of the owner.
         times: The time of the decision on both clocks.
     """
     if not logs.is_due(limiter, times.now_ms, "groups_waiting"):
         return
-    fields = describe_waiting_groups(waiting, workers, times)
+    fields = describe_waiting_groups(waiting, impossible, workers, times)
     if fields:
         logs.log_limited(
             limiter, times.now_ms, "groups_waiting", "WARNING", **fields
@@ -38,6 +40,7 @@
 
 def describe_waiting_groups(
     waiting: Iterable[planstate.WaitingGroup],
+    impossible: set[taskjobs.Group],
     workers: Iterable[fleet.Worker],
     times: planning.Times,
 ) -> dict[str, object]:
@@ -57,6 +60,7 @@
     return {
         "groups": len(late),
         "urgent": sum(entry.job.priority == 0 for entry in late),
+        "impossible": sum(entry.group in impossible for entry in late),
         "oldest_job": oldest.job.id,
         "oldest_ms": ages[oldest.group],
         "workers": sum(obstacles.values()),
--- a/testing/daemon/tasks/test_owner.py
+++ b/testing/daemon/tasks/test_owner.py
@@ -2,6 +2,7 @@
 
 import time
 
+import pytest
 from testing.core import taskbuilders as builders
 from testing.daemon.tasks import conftest
 
@@ -350,3 +351,22 @@
     worker.replaced = True
     cell.unlist_worker(worker)
     cell.wait_for_runs(job_id, 2)
+
+
+@pytest.mark.parametrize(
+    "hopeless",
+    [
+        builders.make_step(2, 8, label="unknown"),
+        builders.make_step(3, 8, gang=True),
+        builders.make_step(2, 9),
+    ],
+)
+def test_urgent_job_that_can_never_run_keeps_no_worker_free(cell, hopeless):
+    # No job of low priority started as long as it existed.
+    cell.start_owner()
+    cell.submit(hopeless, priority=0, queue="urgent")
+    time.sleep(0.5)
+    job_id = cell.submit(builders.make_step(2, 8), priority=2, queue="bulk")
+    started_at = time.monotonic()
+    cell.wait_for_runs(job_id, 2)
+    assert time.monotonic() - started_at < 1
--- a/testing/daemon/tasks/test_planning.py
+++ b/testing/daemon/tasks/test_planning.py
@@ -146,8 +146,54 @@
     task = taskjobs.Task(taskjobs.Group("j", 0, 0), 0)
     run = ledgers.Run(task, 1, worker.info.id, NOW_MS)
     ledgers.add_run(ledger, run)
+    planning.update_fleet(ledger, [worker])
     waiting = [builders.make_waiting_group(entry.job, indexes=(1, 2, 3))]
     planning.record_urgent_demand(ledger, waiting, NOW_MS)
     ledgers.remove_run(ledger, run)
     headroom = urgentdemand.compute_headroom(ledger.urgent_demand, NOW_MS)
     assert headroom == {"service": 4}
+
+
+HOPELESS = builders.make_step(4, 1, label="unknown")
+
+
+def add_urgent_job(ledger, job_id, step):
+    job = builders.make_job(job_id, step, priority=0)
+    entry = ledgers.JobEntry(
+        job, 1, taskprogress.Progress("queue", "account"), 1
+    )
+    ledger.jobs[job_id] = entry
+    return builders.make_waiting_group(job)
+
+
+def test_urgent_work_that_can_never_run_is_no_demand():
+    # Idle workers were kept free for it as long as it existed.
+    ledger = ledgers.Ledger(1)
+    planning.update_fleet(ledger, [make_worker("w0")])
+    waiting = [add_urgent_job(ledger, "j", HOPELESS)]
+    planning.record_urgent_demand(ledger, waiting, NOW_MS)
+    headroom = urgentdemand.compute_headroom(ledger.urgent_demand, NOW_MS)
+    assert not any(headroom.values())
+
+
+def test_work_can_run_once_a_worker_with_its_label_is_listed():
+    ledger = ledgers.Ledger(1)
+    waiting = add_urgent_job(ledger, "j", HOPELESS)
+    planning.update_fleet(ledger, [make_worker("w0")])
+    assert not planning.can_run(ledger, waiting)
+    other = make_worker("w1")
+    other.info = other.info._replace(labels=frozenset({"unknown"}))
+    planning.update_fleet(ledger, [make_worker("w0"), other])
+    assert planning.can_run(ledger, waiting)
+    other.info = other.info._replace(draining_ms=1_000)
+    planning.update_fleet(ledger, [make_worker("w0"), other])
+    assert not planning.can_run(ledger, waiting)
+
+
+def test_work_that_can_never_run_takes_no_guarantee():
+    # A later job of the account could not reclaim its accelerators.
+    ledger = ledgers.Ledger(1)
+    planning.update_fleet(ledger, [make_worker("w0")])
+    add_urgent_job(ledger, "j1", builders.make_step(8, 1, label="unknown"))
+    add_urgent_job(ledger, "j2", builders.make_step(8, 1))
+    assert planning.list_guaranteed_jobs(ledger, conftest.LISTS) == {"j2"}
--- a/testing/daemon/tasks/test_waitreports.py
+++ b/testing/daemon/tasks/test_waitreports.py
@@ -3,6 +3,7 @@
 from testing.core import taskbuilders as builders
 from testing.daemon.tasks import fakefleet
 
+from cyclamenshelf_core import taskjobs
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import planning
@@ -34,6 +35,7 @@
             make_waiting_group("old", 9_000),
             make_waiting_group("other", 3_000, priority=2),
         ],
+        {taskjobs.Group("other", 0, 0)},
         [
             make_worker("w0", TIMES.now_ms),
             make_worker("w1", TIMES.now_ms - 60_000),
@@ -45,6 +47,7 @@
     assert fields == {
         "groups": 2,
         "urgent": 1,
+        "impossible": 1,
         "oldest_job": "old",
         "oldest_ms": 9_000,
         "workers": 4,
@@ -56,7 +59,7 @@
 
 def test_no_line_for_groups_that_have_just_arrived():
     waiting = [make_waiting_group("new", 100)]
-    assert not waitreports.describe_waiting_groups(waiting, [], TIMES)
+    assert not waitreports.describe_waiting_groups(waiting, set(), [], TIMES)
 
 
 def test_lines_are_limited():
@@ -65,8 +68,8 @@
     waiting = [make_waiting_group("old", 9_000)]
     for now_ms in (100_000, 100_200, 104_900):
         times = TIMES._replace(now_ms=now_ms)
-        waitreports.report_waiting_groups(limiter, waiting, [], times)
+        waitreports.report_waiting_groups(limiter, waiting, set(), [], times)
     assert limiter.logged_ms == {"groups_waiting": 100_000}
     times = TIMES._replace(now_ms=105_000)
-    waitreports.report_waiting_groups(limiter, waiting, [], times)
+    waitreports.report_waiting_groups(limiter, waiting, set(), [], times)
     assert limiter.logged_ms == {"groups_waiting": 105_000}
