Let work that waits beside idle workers use the headroom

Cause: the highest demand of priority 0 in the last ten seconds stays free even if nothing urgent runs or waits any more. Class: demand that has ended holds capacity.

The rule is code of its own, headroom. A search that failed beside the headroom is repeated.

--- a/benchmarks/taskreplay.py
+++ b/benchmarks/taskreplay.py
@@ -187,6 +187,7 @@
         urgentdemand.compute_headroom(ledger.urgent_demand, state.now_ms),
     )
     planning.record_preempting_groups(ledger, plan, state.now_ms)
+    planning.record_blocked_groups(ledger, plan, state.now_ms)
     for stop in plan.stops:
         ledgers.stop_run(ledger, ledger.runs[stop.task], "preempted")
         state.stops += 1
--- a/packages/core/src/cyclamenshelf_core/freecapacity.py
+++ b/packages/core/src/cyclamenshelf_core/freecapacity.py
@@ -42,7 +42,7 @@
         eligible: Cache of the eligible workers by service and label.
         fitting: Workers with free capacity for a task, by service, label and
             need, at the last search. No others can follow, as free capacity
-            only shrinks within a decision.
+            only shrinks until the cache is cleared.
         rack_slots: Cache of `count_slots_of_largest_rack`.
         best_effort_workers: Workers that run best-effort tasks.
         latency_sensitive_workers: Workers that run latency-sensitive tasks.
--- a/packages/core/src/cyclamenshelf_core/planstate.py
+++ b/packages/core/src/cyclamenshelf_core/planstate.py
@@ -18,6 +18,7 @@
         allowed_workers: Workers that may run the tasks; None for any.
         preempting: Whether tasks have been stopped for the group.
         isolated: Whether the tasks must run on workers of their own.
+        waited_ms: How long tasks of it have been ready without room to start.
     """
 
     job: taskjobs.TaskJob
@@ -28,6 +29,7 @@
     allowed_workers: frozenset[str] | None = None
     preempting: bool = False
     isolated: bool = False
+    waited_ms: int = 0
 
 
 class Start(NamedTuple):
@@ -76,7 +78,7 @@
         isolated: Number of workers that are kept for isolated tasks.
         unplaceable: By shape, the smallest number of tasks that could not be
             placed. More cannot be placed later either, as free capacity only
-            shrinks within a decision.
+            shrinks within a decision, unless `forget_searches` is called.
     """
 
     def __init__(
@@ -109,6 +111,12 @@
         return free if releasing is None else taskjobs.add(free, releasing)
 
 
+def forget_searches(state: PlanningState) -> None:
+    """Drop what earlier searches found, as free capacity has grown."""
+    state.unplaceable.clear()
+    state.capacity.fitting.clear()
+
+
 def start_tasks(
     state: PlanningState, entry: WaitingGroup, placed: list[str]
 ) -> None:
--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -7,13 +7,13 @@
 priority. Capacity that is being freed for a group is reserved for it, and a
 few other gangs reserve capacity too. Tasks that may have crashed workers run
 alone, and are scheduled after the groups of priority 0. Some capacity stays
-free for groups of priority 0 that may arrive next; of the others, only isolated
-tasks and a group of priority 1 that would soon miss its objective may use it.
+free for groups of priority 0 that may arrive next; see `headroom`.
 """
 
 from typing import NamedTuple
 
 from cyclamenshelf_core import freecapacity
+from cyclamenshelf_core import headroom
 from cyclamenshelf_core import planisolation
 from cyclamenshelf_core import planpreemption
 from cyclamenshelf_core import plansearch
@@ -21,9 +21,6 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import victimcosts
 
-# A group of priority 1 with less slack than this may use the capacity that is
-# kept free for priority 0, so that urgent work does not make it late.
-_HEADROOM_SLACK_MS = 5_000
 # How many blocked gangs below priority 0 get capacity reserved per decision.
 _MAX_GANG_RESERVATIONS = 3
 
@@ -63,11 +60,12 @@
             not among `workers`.
     """
     state = planstate.PlanningState(workers, held, counts, isolated_workers)
-    headroom_reserved = False
+    kept = headroom.Headroom(state, urgent_headroom)
     for entry in sorted(waiting, key=_get_sort_key):
-        if not headroom_reserved and not _may_use_headroom(entry):
-            headroom_reserved = True
-            _reserve_headroom(state, urgent_headroom)
+        if headroom.may_use(kept, entry):
+            headroom.release(kept, state)
+        else:
+            headroom.reserve(kept, state)
         if entry.isolated:
             planisolation.schedule_isolated_group(state, entry)
         else:
@@ -91,33 +89,6 @@
     )
 
 
-def _may_use_headroom(entry: planstate.WaitingGroup) -> bool:
-    """Return whether a group may use what is kept free for priority 0."""
-    if entry.job.priority == 1 and not entry.isolated:
-        return 0 <= entry.slack_ms < _HEADROOM_SLACK_MS
-    return entry.job.priority == 0 or entry.isolated
-
-
-def _reserve_headroom(
-    state: planstate.PlanningState, urgent_headroom: dict[str, int]
-) -> None:
-    """Reserve whole workers with a number of free accelerators in total.
-
-    The groups that are scheduled afterwards cannot use them. The workers with
-    the most free accelerators are taken, as an urgent task may need a whole
-    worker.
-    """
-    free, workers = state.capacity.free, state.capacity.workers
-    missing = dict(urgent_headroom)
-    for worker_id in sorted(
-        free, key=lambda name: (-free[name].accelerators, name)
-    ):
-        service = workers[worker_id].service
-        if missing.get(service, 0) > 0 and free[worker_id].accelerators > 0:
-            missing[service] -= free[worker_id].accelerators
-            free[worker_id] = taskjobs.NO_RESOURCES
-
-
 def _schedule_group(
     state: planstate.PlanningState, entry: planstate.WaitingGroup
 ) -> None:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -79,6 +79,8 @@
         not_before_ms: Monotonic time before which a group is not started.
         preempting: Groups that wait for tasks that were stopped for them,
             with the monotonic time of the first stop.
+        blocked_since_ms: Groups with ready tasks that found no room, with the
+            monotonic time since when.
     """
 
     def __init__(
@@ -98,6 +100,7 @@
         )
         self.not_before_ms: dict[taskjobs.Group, int] = {}
         self.preempting: dict[taskjobs.Group, int] = {}
+        self.blocked_since_ms: dict[taskjobs.Group, int] = {}
 
 
 class Ledger:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -246,6 +246,7 @@
         owner.context.registry, owner.ledger, decision, held, times.now_ms
     )
     planning.record_preempting_groups(owner.ledger, decision, times.now_ms)
+    planning.record_blocked_groups(owner.ledger, decision, times.now_ms)
     owneradvice.request_advice(
         owner, runnable, set(decision.blocked), capacities
     )
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -54,6 +54,7 @@
         for group in _list_runnable_groups(entry, times.wall_ms):
             if entry.not_before_ms.get(group, 0) > times.now_ms:
                 continue
+            blocked_since_ms = entry.blocked_since_ms.get(group, times.now_ms)
             for indexes, isolated in _list_startable_tasks(
                 ledger, entry, group
             ):
@@ -66,6 +67,7 @@
                         entry.job.id in guaranteed_jobs,
                         preempting=group in entry.preempting,
                         isolated=isolated,
+                        waited_ms=times.now_ms - blocked_since_ms,
                     )
                 )
     return waiting
@@ -96,6 +98,20 @@
     return feasibility.can_run(ledger.fleet, waiting.job, step)
 
 
+def record_blocked_groups(
+    ledger: ledgers.Ledger, plan: taskplan.Plan, now_ms: int
+) -> None:
+    """Record since when groups have had tasks without room to start."""
+    blocked = set(plan.blocked)
+    for group in blocked:
+        entry = ledger.jobs[group.job_id]
+        entry.blocked_since_ms.setdefault(group, now_ms)
+    for start in plan.starts:
+        if start.group not in blocked:
+            entry = ledger.jobs[start.group.job_id]
+            entry.blocked_since_ms.pop(start.group, None)
+
+
 def record_preempting_groups(
     ledger: ledgers.Ledger, plan: taskplan.Plan, now_ms: int
 ) -> None:
--- a/testing/daemon/tasks/test_planning.py
+++ b/testing/daemon/tasks/test_planning.py
@@ -197,3 +197,24 @@
     add_urgent_job(ledger, "j1", builders.make_step(8, 1, label="unknown"))
     add_urgent_job(ledger, "j2", builders.make_step(8, 1))
     assert planning.list_guaranteed_jobs(ledger, conftest.LISTS) == {"j2"}
+
+
+def test_group_has_waited_since_it_first_found_no_room():
+    ledger = ledgers.Ledger(1)
+    add_job(ledger, 2)
+    group = taskjobs.Group("j", 0, 0)
+    start = planstate.Start(group, ((0, "w0"),))
+
+    def get_waited_ms(now_ms):
+        times = planning.Times(now_ms, now_ms)
+        waiting = planning.list_waiting(ledger, conftest.LISTS, times, set())
+        return waiting[0].waited_ms
+
+    for now_ms in (NOW_MS, NOW_MS + 500):
+        plan = taskplan.Plan([start], [], [group])
+        planning.record_blocked_groups(ledger, plan, now_ms)
+    assert get_waited_ms(NOW_MS + 600) == 600
+    planning.record_blocked_groups(
+        ledger, taskplan.Plan([start], [], []), NOW_MS + 700
+    )
+    assert get_waited_ms(NOW_MS + 800) == 0
