Repeat an unanswered insert before another decision on its job

Cause: after an insert without an answer, the next attempt admitted the caller anew, under lists that had changed meanwhile, and returned their rejection without a look at the job's row. Class: an answer "not run" after a write whose outcome is unknown. Ruled out: a late insert (it is conditional on the version of the lists) and relayed calls (a peer's rejection is not returned after an unknown outcome).

Change: an insert under one version of the lists is a function of its own, which repeats the same transaction until its outcome is known and has no way to refuse. Newer lists decide only after the job is known not to be stored.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/submission.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/submission.py
@@ -1,5 +1,6 @@
 """Admission of callers, and submission and cancellation of jobs."""
 
+from collections.abc import Iterator
 import enum
 from typing import NamedTuple
 
@@ -144,11 +145,8 @@
         errors.StoreUnavailableError: The job is not stored, and will not be.
         errors.OutcomeUnknownError: The job may or may not be stored.
     """
-    outcome_unknown = False
-    for attempt in range(_MAX_WRITE_ATTEMPTS):
-        remaining_ms = deadline_ms - context.clock.now_ms()
-        if remaining_ms <= 0:
-            break
+    attempts = iter(range(_MAX_WRITE_ATTEMPTS))
+    while True:
         lists = context.cached_lists.lists
         admission = admit(lists, caller)
         if isinstance(admission, SubmissionOutcome):
@@ -156,44 +154,88 @@
         job = make_job(
             admission, job_id, payload, steps, schedule, context.clock.wall_ms()
         )
+        outcome = _insert(context, job, lists, deadline_ms, attempts)
+        if outcome is not None:
+            return outcome
+        cachedlists.confirm(context.cached_lists, 0)
+
+
+def _insert(
+    context: SubmissionContext,
+    job: taskjobs.TaskJob,
+    lists: queues.Lists,
+    deadline_ms: int,
+    attempts: Iterator[int],
+) -> SubmissionOutcome | None:
+    """Insert a job under one version of the lists.
+
+    The same transaction is repeated until its outcome is known. A response that
+    was lost can therefore not be followed by a decision under newer lists.
+
+    Args:
+        context: What submission needs.
+        job: The job.
+        lists: The lists that admit it; an insert fails if they have changed.
+        deadline_ms: Monotonic time after which no attempt is made.
+        attempts: Numbers of the attempts that may be made.
+
+    Returns:
+        The outcome, or None if the lists have changed: the job is not stored,
+        and none of the attempts can still succeed.
+
+    Raises:
+        errors.StoreUnavailableError: The job is not stored, and will not be.
+        errors.OutcomeUnknownError: The job may or may not be stored.
+    """
+    transaction = _make_insert(job, context.cached_lists.key, lists)
+    unanswered = 0
+    for attempt in attempts:
+        remaining_ms = deadline_ms - context.clock.now_ms()
+        if remaining_ms <= 0:
+            break
         try:
-            version = _commit(
-                context,
-                _make_insert(job, context.cached_lists.key, lists),
-                remaining_ms,
-            )
+            version = _commit(context, transaction, remaining_ms)
         except errors.WriteConflictError as conflict:
-            if conflict.versions.get(make_work_key(job_id), 0) > 0:
-                return SubmissionOutcome.ALREADY_STORED
-            # The lists have changed, so no earlier attempt can still succeed.
-            outcome_unknown = False
-            cachedlists.confirm(context.cached_lists, 0)
-            continue
+            version = conflict.versions.get(make_work_key(job.id), 0)
+            _log_insert(job, lists, version, attempt, unanswered)
+            return SubmissionOutcome.ALREADY_STORED if version else None
         except errors.OutcomeUnknownError:
-            outcome_unknown = True
+            unanswered += 1
             continue
         except errors.StoreUnavailableError:
-            if not outcome_unknown and attempt + 1 >= _MAX_STORE_FAILURES:
+            if not unanswered and attempt + 1 >= _MAX_STORE_FAILURES:
                 break
             context.clock.sleep_ms(_RETRY_PAUSE_MS << attempt)
             continue
-        logs.log_event(
-            "job_stored",
-            job=job_id,
-            queue=job.queue,
-            account=job.account,
-            lists_version=lists.version,
-            row_version=version,
-            tries=attempt + 1,
-        )
+        _log_insert(job, lists, version, attempt, unanswered)
         return SubmissionOutcome.STORED
-    if outcome_unknown:
+    if unanswered:
         raise errors.OutcomeUnknownError(
             "table", "no response to the insert of the job"
         )
     raise errors.StoreUnavailableError("table", "the job was not inserted")
 
 
+def _log_insert(
+    job: taskjobs.TaskJob,
+    lists: queues.Lists,
+    version: int,
+    attempt: int,
+    unanswered: int,
+) -> None:
+    """Log the known outcome of an insert; version 0 means not stored."""
+    logs.log_event(
+        "job_stored" if version else "job_not_inserted",
+        job=job.id,
+        queue=job.queue,
+        account=job.account,
+        lists_version=lists.version,
+        row_version=version,
+        tries=attempt + 1,
+        unanswered=unanswered,
+    )
+
+
 def _make_insert(
     job: taskjobs.TaskJob, lists_key: ports.RowKey, lists: queues.Lists
 ) -> ports.Transaction:
