Renew the lease of a worker at once whose tasks are adopted

Read by the review: after a takeover on a fleet of more than 120 workers, the thread of a worker that first responded while it counted as idle pauses for up to 11 s at 1,000 workers, longer than its lease. Its tasks lapse.

Cause: the pause of an idle worker was begun before its tasks were adopted, and adoption did not end it; a start does.

Test: test_worker_with_adopted_tasks_is_polled_at_once fails on the code before (not completed within 20 s).

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
@@ -146,6 +146,8 @@
     )
     _update_run(run, running, times.now_ms)
     ledgers.add_run(ledger, run)
+    # Its polling may be paused, but it now has a lease to renew.
+    fleet.wake_worker(worker, times.now_ms)
     logs.log_event(
         "task_adopted",
         task=running.name,
--- a/testing/daemon/tasks/test_owner.py
+++ b/testing/daemon/tasks/test_owner.py
@@ -313,6 +313,19 @@
     cell.wait_for_state(job_id, State.COMPLETED)
 
 
+def test_worker_with_adopted_tasks_is_polled_at_once(cell, monkeypatch):
+    # On a large fleet its lease expired during the pause of an idle worker.
+    monkeypatch.setattr(fleet, "_IDLE_POLLS_PER_S", 0.01)
+    job_id = cell.submit(builders.make_step(1))
+    cell.start_owner()
+    cell.wait_for_state(job_id, State.RUNNING)
+    cell.start_owner()
+    owner = cell.owners[-1]
+    conftest.wait_until(lambda: owner.ledger.runs, "the task is adopted")
+    cell.end_all(job_id)
+    cell.wait_for_state(job_id, State.COMPLETED)
+
+
 def test_owner_without_a_proved_lease_waits_before_it_checks_again(cell):
     # The owner's loop ran a thousand times per second while the store was
     # unavailable.
