Keep the guarantee of a running job when its workers drain

A job that runs was no longer covered by its account's guarantee once the workers that could run it drained, as it could not start on the rest of the fleet. Its tasks could then be stopped for other work. Found by reading the change before; not seen in a run.

Test: test_running_job_keeps_its_guarantee_when_its_workers_drain fails on the code before.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -206,7 +206,7 @@
 
     Jobs are covered in the order of their acceptance, as long as they fit in
     the remaining guaranteed accelerators of their account. Steps that can
-    never run need none of these.
+    never run need none of these, unless the job runs already.
     """
     remaining = {account.name: account.guaranteed for account in lists.accounts}
     guaranteed_jobs: set[str] = set()
@@ -220,7 +220,8 @@
         required = sum(
             step.tasks * step.need.accelerators
             for step in job.steps
-            if feasibility.can_run(ledger.fleet, job, step)
+            if job.id in ledger.by_job
+            or feasibility.can_run(ledger.fleet, job, step)
         )
         if 0 < required <= remaining.get(job.account, 0):
             remaining[job.account] -= required
--- a/testing/daemon/tasks/test_planning.py
+++ b/testing/daemon/tasks/test_planning.py
@@ -199,6 +199,17 @@
     assert planning.list_guaranteed_jobs(ledger, conftest.LISTS) == {"j2"}
 
 
+def test_running_job_keeps_its_guarantee_when_its_workers_drain():
+    # Its tasks could then be stopped for other work of its account.
+    ledger, worker = ledgers.Ledger(1), make_worker("w0")
+    add_urgent_job(ledger, "j", builders.make_step(1, 8))
+    task = taskjobs.Task(taskjobs.Group("j", 0, 0), 0)
+    ledgers.add_run(ledger, ledgers.Run(task, 1, "w0", NOW_MS))
+    worker.info = worker.info._replace(draining_ms=1_000)
+    planning.update_fleet(ledger, [worker])
+    assert planning.list_guaranteed_jobs(ledger, conftest.LISTS) == {"j"}
+
+
 def test_group_has_waited_since_it_first_found_no_room():
     ledger = ledgers.Ledger(1)
     add_job(ledger, 2)
