Write what the store accepts when it rejects one job's row

Cause, the first of two: the writer repeated a batch until its outcome was known, and took status 400 for an outage. A batch that the store rejects for good was repeated until the tenure ended, while nothing else was written, and so nothing was started. A takeover built the same row again.

Ruled out: the other uses of the store. The lease, the lists and the inserts of jobs write rows of constant size or give up after some attempts.

Change: status 400 and the like is an error of its own. Ends of workers are acknowledged up to the first one whose effects are not stored, so an end of the rejected job is listed again to the next owner and the ends of other workers are not held.

Tests: the fake store rejects what the platform's store answers with 400.

Conclusion: a row that is refused holds its own job only.

--- a/packages/core/src/cyclamenshelf_core/errors.py
+++ b/packages/core/src/cyclamenshelf_core/errors.py
@@ -47,6 +47,12 @@
     """The store did not accept the call; nothing was written."""
 
 
+class WriteRejectedError(StoreUnavailableError):
+    """The store refused a write for good; the same write always fails."""
+
+    code = "write_rejected"
+
+
 class HistoryLostError(StoreError):
     """The store no longer keeps the requested changes."""
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -86,6 +86,12 @@
             with the monotonic time of the first stop.
         blocked_since_ms: Groups with ready tasks that found no room, with the
             monotonic time since when.
+        unstored_ends: First end on each worker whose effects on the progress
+            are not stored: start time of the worker and number of the end.
+        rejections: Number of times in a row that the store has rejected the
+            progress for good.
+        rejected_until_ms: Monotonic time until which the progress is not
+            written again, and no task is started, after a rejection.
     """
 
     def __init__(
@@ -106,6 +112,9 @@
         self.not_before_ms: dict[taskjobs.Group, int] = {}
         self.preempting: dict[taskjobs.Group, int] = {}
         self.blocked_since_ms: dict[taskjobs.Group, int] = {}
+        self.unstored_ends: dict[str, tuple[int, int]] = {}
+        self.rejections = 0
+        self.rejected_until_ms = 0
 
 
 class Ledger:
@@ -320,6 +329,20 @@
     ledger.jobs[group.job_id].not_before_ms[group] = now_ms + delay_ms
 
 
+def add_unstored_end(
+    entry: JobEntry, worker_id: str, started_ms: int, number: int
+) -> None:
+    """Record that the effects of an end on a job's progress are not stored.
+
+    Only the latest incarnation of a worker can list its ends again.
+    """
+    known = entry.unstored_ends.get(worker_id, (started_ms, number))
+    if known[0] == started_ms:
+        number = min(number, known[1])
+    if known[0] <= started_ms:
+        entry.unstored_ends[worker_id] = (started_ms, number)
+
+
 def end_job(
     ledger: Ledger,
     entry: JobEntry,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -139,9 +139,8 @@
             context.clock,
             owner.tenure,
             owner.batches,
-            lambda batch, versions: ownerstate.post(
-                owner,
-                lambda: ownerrows.handle_written(owner, batch, versions),
+            lambda batch, result: ownerstate.post(
+                owner, lambda: ownerrows.handle_written(owner, batch, result)
             ),
         )
     )
@@ -168,14 +167,17 @@
     return max(1, min(_TICK_MS, left_ms))
 
 
-def _list_blocked_jobs(owner: ownerstate.Owner) -> set[str]:
-    """Return the jobs that may have tasks running on unconfirmed workers."""
-    if not owner.unconfirmed_workers:
-        return set()
+def _list_blocked_jobs(owner: ownerstate.Owner, now_ms: int) -> set[str]:
+    """Return the jobs of which no task may be started.
+
+    They may have tasks running on unconfirmed workers, or the store has
+    rejected their rows, without which a start is not sent.
+    """
     return {
         job_id
         for job_id, entry in owner.ledger.jobs.items()
-        if entry.progress.workers & owner.unconfirmed_workers
+        if entry.rejected_until_ms > now_ms
+        or entry.progress.workers & owner.unconfirmed_workers
     }
 
 
@@ -217,7 +219,7 @@
         owner.ledger,
         lists,
         times,
-        _list_blocked_jobs(owner),
+        _list_blocked_jobs(owner, times.now_ms),
     )
     waiting = [owneradvice.restrict_workers(owner, entry) for entry in waiting]
     if not waiting:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/pendingreasons.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/pendingreasons.py
@@ -20,6 +20,8 @@
     DECISIONS_SUSPENDED = "decisions_suspended"
     # Tasks may still run on workers that have not responded to this owner.
     WORKERS_UNCONFIRMED = "workers_unconfirmed"
+    # The store has rejected the rows that have to precede its starts.
+    PROGRESS_REJECTED = "progress_rejected"
     DELAYED = "delayed"
     # It was not among the groups of the last decision that wait.
     UNDECIDED = "undecided"
@@ -119,6 +121,14 @@
                 "left_ms": view.unconfirmed_until_ms - view.now_ms,
             },
         )
+    if entry.rejected_until_ms > view.now_ms:
+        return Explanation(
+            PendingReason.PROGRESS_REJECTED,
+            {
+                "rejections": entry.rejections,
+                "left_ms": entry.rejected_until_ms - view.now_ms,
+            },
+        )
     waiting = _find_waiting_group(entry, view)
     if waiting is not None:
         return _explain_group(waiting, view, situation)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
@@ -58,7 +58,8 @@
     Attributes:
         commit: Applies a transaction; returns its version. Arguments: the
             transaction, timeout in ms. Raises errors.WriteConflictError,
-            errors.StoreUnavailableError (nothing was written) or
+            errors.StoreUnavailableError (nothing was written), its subclass
+            errors.WriteRejectedError (nor will be by a retry) or
             errors.OutcomeUnknownError.
         read: Returns the rows of a table's default partition. Arguments:
             table, timeout in ms. Raises errors.StoreUnavailableError.
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/runends.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/runends.py
@@ -41,6 +41,10 @@
     )
     if entry.progress.state not in taskprogress.ENDED:
         _apply_to_job(ledger, worker, entry, task, end, now_ms, wall_ms)
+    if entry.dirty:
+        ledgers.add_unstored_end(
+            entry, worker.info.id, worker.info.started_ms, end.number
+        )
 
 
 def _record_run_time(
--- a/testing/daemon/tasks/fakestore.py
+++ b/testing/daemon/tasks/fakestore.py
@@ -7,6 +7,9 @@
 
 # Checks, puts and deletes of one transaction.
 MAX_ENTRIES = 100
+# Of the values of one transaction, which are sent in base64.
+MAX_CALL_BYTES = 1_000_000
+MAX_ROW_BYTES = 65_536
 
 
 class FakeStore:
@@ -53,9 +56,7 @@
         return row and row.value
 
     def commit(self, transaction, timeout_ms):
-        entries = sum(map(len, transaction))
-        if entries > MAX_ENTRIES:
-            raise errors.StoreUnavailableError("table", f"{entries} entries")
+        self._check_size(transaction)
         self.before_commit(transaction)
         fault = self.commit_faults.pop(0) if self.commit_faults else "ok"
         if self.down or fault == "down":
@@ -77,6 +78,19 @@
             raise errors.OutcomeUnknownError("table", "lost")
         return version
 
+    def _check_size(self, transaction):
+        """Reject for good what the platform's store answers with 400."""
+        entries = sum(map(len, transaction))
+        sizes = [len(value) for value in transaction.puts.values()]
+        if (
+            entries > MAX_ENTRIES
+            or max(sizes, default=0) > MAX_ROW_BYTES
+            or sum(sizes) * 4 // 3 > MAX_CALL_BYTES
+        ):
+            raise errors.WriteRejectedError(
+                "table", f"{entries} entries, sizes {sizes}"
+            )
+
     def read_row(self, key, timeout_ms):
         result = self.read(key.table, timeout_ms, key.part)
         rows = [row for row in result.rows if row.key == key]
