Divide the progress of a large job into pages that fit a row

Ruled out: the batch as a whole (48 rows of which the last may be a full one are 887 KB of the 1 MB), the records of losses and incarnations (in memory only, or bounded by the losses after which a task is given up), the lists and the lease.

Change: the tasks of all occurrences are numbered, and a page holds as many as fit a row with the largest records they can have. Page 0 is the former row; the progress of a small job is encoded as before. A change writes its own page and page 0. Changes are written in turn, so that a large job keeps nobody waiting; a gang starts once all its pages are stored, and what its ends did is stored with its task 0. Ends are acknowledged by page. A checkpoint without room is not kept. Old rows are divided at the next takeover. 256 tasks of a step start at a time, as the starts of others waited behind thousands. A job that cannot be kept is refused with 400 and the limit; steps without tasks, whose job could never end, and negative counts, which got around the limit, are refused as well.

Conclusion: no count of tasks, runs, occurrences or workers makes a row larger than the store accepts. How long it takes to stop thousands of tasks of a cancelled job is not changed and stays open.

--- a/benchmarks/task_decisions.py
+++ b/benchmarks/task_decisions.py
@@ -52,7 +52,7 @@
 ) -> tuple[ledgers.Ledger, list[fleet.Worker]]:
     """Return the owner's ledger of a fully allocated fleet, and its workers."""
     ledger = ledgers.Ledger(1)
-    members = [_make_worker(number) for number in range(workers)]
+    members = make_workers(workers)
     task_workers = [
         worker.info.id for worker in members for _ in range(_TASKS_PER_WORKER)
     ]
@@ -74,6 +74,11 @@
     return ledger, members
 
 
+def make_workers(count: int) -> list[fleet.Worker]:
+    """Return workers that have responded."""
+    return [_make_worker(number) for number in range(count)]
+
+
 def _make_worker(number: int) -> fleet.Worker:
     rack = f"r{number // _WORKERS_PER_RACK}"
     info = ports.WorkerInfo(
@@ -100,24 +105,38 @@
     gang: bool = False,
 ) -> taskjobs.TaskJob:
     need = taskjobs.Resources(2_000, 4_000, accelerators)
-    step = taskjobs.Step(
-        tasks, need, 5_000, checkpointable=not gang, gang=gang, same_rack=gang
+    account = f"a{rng.randrange(57)}"
+    job = make_job(job_id, tasks, need, priority, account)
+    step = job.steps[0]._replace(
+        checkpointable=not gang, gang=gang, same_rack=gang
     )
+    accepted_ms = _NOW_MS - rng.randrange(5_000)
+    return job._replace(steps=(step,), accepted_ms=accepted_ms)
+
+
+def make_job(
+    job_id: str,
+    tasks: int,
+    need: taskjobs.Resources,
+    priority: int = 1,
+    account: str = "a0",
+) -> taskjobs.TaskJob:
+    """Return a job with one step."""
     return taskjobs.TaskJob(
         job_id,
         f"q{priority}",
-        f"a{rng.randrange(57)}",
+        account,
         "s",
         "payload",
-        (step,),
+        (taskjobs.Step(tasks, need, 5_000),),
         priority,
-        2,
-        3.0,
-        1_000,
-        0,
-        0,
-        0,
-        _NOW_MS - rng.randrange(5_000),
+        max_attempts=2,
+        slowdown_factor=3.0,
+        target_latency_ms=1_000,
+        repetitions=0,
+        start_at_ms=0,
+        interval_ms=0,
+        accepted_ms=_NOW_MS,
     )
 
 
--- a/packages/core/src/cyclamenshelf_core/taskprogress.py
+++ b/packages/core/src/cyclamenshelf_core/taskprogress.py
@@ -45,6 +45,8 @@
             worker and task, so that the next owner knows which tasks a
             worker was lost with.
         ended_ms: Unix time at which the job ended; 0 while it has not.
+        page_tasks: Number of tasks on each page of its stored progress; 0 if
+            all of it is in one row.
     """
 
     def __init__(self, queue: str, account: str, timed: bool = False) -> None:
@@ -59,6 +61,7 @@
         self.workers: set[str] = set()
         self.assigned_runs: dict[str, dict[taskjobs.Task, int]] = {}
         self.ended_ms = 0
+        self.page_tasks = 0
 
 
 def is_group_done(
@@ -70,13 +73,16 @@
 
 def is_job_done(progress: Progress, job: taskjobs.TaskJob) -> bool:
     """Return whether all tasks of all occurrences have succeeded."""
+    occurrences = taskjobs.count_occurrences(job)
+    if len(progress.done) < occurrences * len(job.steps):
+        return False
     return all(
         is_group_done(
             progress,
             taskjobs.Group(job.id, occurrence, step_number),
             step.tasks,
         )
-        for occurrence in range(taskjobs.count_occurrences(job))
+        for occurrence in range(occurrences)
         for step_number, step in enumerate(job.steps)
     )
 
@@ -108,34 +114,48 @@
 
 def encode_progress(progress: Progress) -> bytes:
     """Return the row value of a job's progress."""
-    return json.dumps(
-        {
-            "queue": progress.queue,
-            "account": progress.account,
-            "timed": progress.timed,
-            "state": progress.state,
-            "ended_ms": progress.ended_ms,
-            "workers": sorted(progress.workers),
-            "done": {
-                f"{group.occurrence}.{group.step}": sorted(indexes)
-                for group, indexes in progress.done.items()
-            },
-            "failed_runs": _encode_run_sets(progress.failed_runs),
-            "lost_runs": _encode_run_sets(progress.lost_runs),
-            "assigned_runs": {
-                worker_id: {
-                    _format_task_key(task): number
-                    for task, number in runs.items()
-                }
-                for worker_id, runs in progress.assigned_runs.items()
-            },
-            "checkpoints": {
-                _format_task_key(task): text
-                for task, text in progress.checkpoints.items()
-            },
+    head = {
+        "queue": progress.queue,
+        "account": progress.account,
+        "timed": progress.timed,
+        "state": progress.state,
+        "ended_ms": progress.ended_ms,
+        "workers": sorted(progress.workers),
+    }
+    if progress.page_tasks:
+        head["page_tasks"] = progress.page_tasks
+    return _dump(head | _make_records(progress))
+
+
+def encode_records(progress: Progress) -> bytes | None:
+    """Return the records of tasks as a row value; None if there are none."""
+    records = _make_records(progress)
+    return _dump(records) if any(records.values()) else None
+
+
+def _dump(row: dict[str, Any]) -> bytes:
+    return json.dumps(row, separators=(",", ":")).encode()
+
+
+def _make_records(progress: Progress) -> dict[str, dict[str, Any]]:
+    return {
+        "done": {
+            f"{group.occurrence}.{group.step}": sorted(indexes)
+            for group, indexes in progress.done.items()
+        },
+        "failed_runs": _encode_run_sets(progress.failed_runs),
+        "lost_runs": _encode_run_sets(progress.lost_runs),
+        "assigned_runs": {
+            worker_id: {
+                _format_task_key(task): number for task, number in runs.items()
+            }
+            for worker_id, runs in progress.assigned_runs.items()
         },
-        separators=(",", ":"),
-    ).encode()
+        "checkpoints": {
+            _format_task_key(task): text
+            for task, text in progress.checkpoints.items()
+        },
+    }
 
 
 def decode_progress(job_id: str, value: bytes) -> Progress:
@@ -145,21 +165,31 @@
     progress.state = State(row["state"])
     progress.ended_ms = row["ended_ms"]
     progress.workers = set(row["workers"])
+    progress.page_tasks = row.get("page_tasks", 0)
+    _add_records(progress, job_id, row)
+    return progress
+
+
+def add_records(progress: Progress, job_id: str, value: bytes) -> None:
+    """Add the records of tasks that are encoded in a row value."""
+    _add_records(progress, job_id, jsontexts.decode(value))
+
+
+def _add_records(progress: Progress, job_id: str, row: dict[str, Any]) -> None:
     for name, indexes in row["done"].items():
         occurrence, step = map(int, name.split("."))
         group = taskjobs.Group(job_id, occurrence, step)
-        progress.done[group] = set(indexes)
-    progress.failed_runs = _decode_run_sets(job_id, row["failed_runs"])
+        progress.done.setdefault(group, set()).update(indexes)
+    progress.failed_runs |= _decode_run_sets(job_id, row["failed_runs"])
     # Rows of earlier versions lack the following two fields.
-    progress.lost_runs = _decode_run_sets(job_id, row.get("lost_runs", {}))
+    progress.lost_runs |= _decode_run_sets(job_id, row.get("lost_runs", {}))
     for worker_id, runs in row.get("assigned_runs", {}).items():
-        progress.assigned_runs[worker_id] = {
-            _parse_task_key(job_id, name): number
-            for name, number in runs.items()
-        }
+        progress.workers.add(worker_id)
+        assigned = progress.assigned_runs.setdefault(worker_id, {})
+        for name, number in runs.items():
+            assigned[_parse_task_key(job_id, name)] = number
     for name, text in row["checkpoints"].items():
         progress.checkpoints[_parse_task_key(job_id, name)] = text
-    return progress
 
 
 def _encode_run_sets(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_core import progresspages
 from cyclamenshelf_daemon import httpclient
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import metrics
@@ -50,6 +51,7 @@
         keep_ended_ms: How long the rows of ended jobs are kept.
         registry: Keeps the host's metrics.
         advise: See `ownerstate.OwnerContext`.
+        max_row_bytes: Size of the largest row that the store accepts.
     """
 
     store: ports.Store
@@ -69,6 +71,7 @@
     keep_ended_ms: int
     registry: metrics.Metrics
     advise: ports.Advise | None = None
+    max_row_bytes: int = progresspages.DEFAULT_MAX_ROW_BYTES
 
 
 class Host(NamedTuple):
@@ -110,6 +113,7 @@
         context.keep_ended_ms,
         context.registry,
         context.advise,
+        context.max_row_bytes,
     )
     owner_thread = ownership.start_lease_thread(
         ownership.OwnershipContext(
@@ -133,7 +137,11 @@
         cached_lists,
         jobstates.JobStateCache(),
         submission.SubmissionContext(
-            store, cached_lists, clock, adaptivetimeout.AdaptiveTimeout()
+            store,
+            cached_lists,
+            clock,
+            adaptivetimeout.AdaptiveTimeout(),
+            context.max_row_bytes,
         ),
         owner_thread,
         relays.Relay(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/jobstates.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/jobstates.py
@@ -36,6 +36,19 @@
     return ports.RowKey(PROGRESS_TABLE, job_id)
 
 
+def make_page_key(job_id: str, page: int) -> ports.RowKey:
+    """Return the key of a page of a job's progress; see `progresspages`."""
+    if page == 0:
+        return make_progress_key(job_id)
+    return ports.RowKey(PROGRESS_TABLE, f"{job_id}.{page}")
+
+
+def parse_page_key(key: str) -> tuple[str, int]:
+    """Return the job and the number of a page."""
+    job_id, _, page = key.partition(".")
+    return job_id, int(page or 0)
+
+
 def make_queued_key(queue: str, job_id: str) -> ports.RowKey:
     """Return the key of the row that exists until a task of a job starts."""
     return ports.RowKey(QUEUED_TABLE, f"{queue}.{job_id}")
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from cyclamenshelf_core import feasibility
+from cyclamenshelf_core import progresspages
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_core import urgentdemand
@@ -40,6 +41,7 @@
         since_ms: Monotonic time of the decision to start it, and of the
             start order once that is sent.
         acked_ms: Monotonic time at which the worker first confirmed the run.
+        stored: Whether its worker is stored with the job.
         listed: Whether its worker has listed it as running, so it is known
             which incarnation of the worker has started it.
         stop_acked_ms: Monotonic time at which a stop was acknowledged.
@@ -63,6 +65,7 @@
         self.worker_id = worker_id
         self.phase = Phase.PLANNED
         self.since_ms = now_ms
+        self.stored = False
         self.acked_ms: int | None = None
         self.listed = False
         self.stop_acked_ms: int | None = None
@@ -78,16 +81,20 @@
 
     Attributes:
         row_version: Version of the job's row; later jobs have higher ones.
-        progress_version: Version of its progress row.
+        layout: How its progress is divided into pages.
+        page_versions: Version of each page that is stored.
         dirty: Whether its progress has to be written.
+        changed_pages: Pages that differ from the stored ones, in the order
+            of their first change. Page 0 is written with any other page.
+        written_ms: Monotonic time at which it was last passed to the writer.
         has_queued_row: Whether its row in the table of queued jobs exists.
         not_before_ms: Monotonic time before which a group is not started.
         preempting: Groups that wait for tasks that were stopped for them,
             with the monotonic time of the first stop.
         blocked_since_ms: Groups with ready tasks that found no room, with the
             monotonic time since when.
-        unstored_ends: First end on each worker whose effects on the progress
-            are not stored: start time of the worker and number of the end.
+        unstored_ends: By page, the first end on each worker whose effects are
+            not stored: start time of the worker and number of the end.
         rejections: Number of times in a row that the store has rejected the
             progress for good.
         rejected_until_ms: Monotonic time until which the progress is not
@@ -100,19 +107,25 @@
         row_version: int,
         progress: taskprogress.Progress,
         progress_version: int,
+        max_row_bytes: int = progresspages.DEFAULT_MAX_ROW_BYTES,
     ) -> None:
         self.job = job
         self.row_version = row_version
         self.progress = progress
-        self.progress_version = progress_version
+        self.layout = progresspages.make_layout(
+            job, max_row_bytes, progress.page_tasks
+        )
+        self.page_versions = {0: progress_version}
         self.dirty = False
+        self.changed_pages: dict[int, None] = {}
+        self.written_ms = 0
         self.has_queued_row = (
             progress.state is taskprogress.State.QUEUED and not progress.timed
         )
         self.not_before_ms: dict[taskjobs.Group, int] = {}
         self.preempting: dict[taskjobs.Group, int] = {}
         self.blocked_since_ms: dict[taskjobs.Group, int] = {}
-        self.unstored_ends: dict[str, tuple[int, int]] = {}
+        self.unstored_ends: dict[int, dict[str, tuple[int, int]]] = {}
         self.rejections = 0
         self.rejected_until_ms = 0
 
@@ -195,6 +208,7 @@
     ledger.isolated_runs[run.worker_id] += run.isolated
     key = _get_step_key(run)
     ledger.step_counts[key] = ledger.step_counts.get(key, 0) + 1
+    mark_changed(ledger.jobs[run.task.group.job_id], run.task)
     job = ledger.jobs[run.task.group.job_id].job
     if job.priority == 0:
         ledger.urgent_demand.in_use[job.service] += need.accelerators
@@ -219,6 +233,7 @@
     ledger.step_counts[key] -= 1
     if not ledger.step_counts[key]:
         del ledger.step_counts[key]
+    mark_changed(ledger.jobs[run.task.group.job_id], run.task)
     job = ledger.jobs[run.task.group.job_id].job
     if job.priority == 0:
         ledger.urgent_demand.in_use[job.service] -= need.accelerators
@@ -248,11 +263,6 @@
     return list(ledger.by_job.get(job_id, {}).values())
 
 
-def list_job_workers(ledger: Ledger, job_id: str) -> set[str]:
-    """Return the workers on which a job has runs."""
-    return {run.worker_id for run in list_job_runs(ledger, job_id)}
-
-
 def list_planned_runs(ledger: Ledger, job_id: str) -> list[Run]:
     """Return the runs of a job whose start has not been sent."""
     return [
@@ -329,18 +339,30 @@
     ledger.jobs[group.job_id].not_before_ms[group] = now_ms + delay_ms
 
 
+def mark_changed(entry: JobEntry, task: taskjobs.Task) -> None:
+    """Record that the records of a task differ from the stored ones."""
+    entry.changed_pages[progresspages.get_page(entry.layout, task)] = None
+
+
 def add_unstored_end(
-    entry: JobEntry, worker_id: str, started_ms: int, number: int
+    entry: JobEntry, page: int, worker_id: str, end: tuple[int, int]
 ) -> None:
     """Record that the effects of an end on a job's progress are not stored.
 
     Only the latest incarnation of a worker can list its ends again.
+
+    Args:
+        entry: The job.
+        page: Page of the task that ended.
+        worker_id: The worker that listed the end.
+        end: Start time of the worker and number of the end.
     """
-    known = entry.unstored_ends.get(worker_id, (started_ms, number))
-    if known[0] == started_ms:
-        number = min(number, known[1])
-    if known[0] <= started_ms:
-        entry.unstored_ends[worker_id] = (started_ms, number)
+    ends = entry.unstored_ends.setdefault(page, {})
+    started_ms, number = ends.get(worker_id, end)
+    if started_ms == end[0]:
+        ends[worker_id] = (started_ms, min(number, end[1]))
+    elif started_ms < end[0]:
+        ends[worker_id] = end
 
 
 def end_job(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/lostworkers.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/lostworkers.py
@@ -80,6 +80,7 @@
         runs.remove(number)
         if not runs:
             del entry.progress.lost_runs[task]
+        ledgers.mark_changed(entry, task)
         entry.dirty = True
         logs.log_event(
             "loss_withdrawn",
@@ -102,7 +103,11 @@
         runs = entry.progress.assigned_runs.pop(worker_id, {})
         if entry.progress.state in taskprogress.ENDED:
             continue
-        for task, number in runs.items():
+        lost = {
+            (taskprogress.get_representative(entry.job, task), number)
+            for task, number in runs.items()
+        }
+        for task, number in sorted(lost):
             done = task.index in entry.progress.done.get(task.group, ())
             if not done and task not in ledger.runs:
                 # The row does not say whether the worker ran other tasks.
@@ -145,6 +150,7 @@
     run_ms = (worker.last_response_ms or 0) - run.since_ms
     if workerlosses.is_healthy(run_ms, step.expected_run_ms):
         if entry.progress.lost_runs.pop(task, None):
+            ledgers.mark_changed(entry, task)
             entry.dirty = True
         return []
     suspected = ledger.suspected_runs.pop(_get_key(worker), [])
@@ -162,6 +168,7 @@
 ) -> list[ledgers.JobEntry]:
     runs = entry.progress.lost_runs.setdefault(task, set())
     runs.add(number)
+    ledgers.mark_changed(entry, task)
     entry.dirty = True
     logs.log_event(
         "worker_lost_with_task",
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerjobs.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerjobs.py
@@ -1,6 +1,7 @@
 """Jobs of the owner: loaded at a takeover, then added as they arrive."""
 
 from cyclamenshelf_core import errors
+from cyclamenshelf_core import progresspages
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_daemon import logs
@@ -13,6 +14,9 @@
 _LIST_TIMEOUT_MS = 900
 _LOAD_RETRY_MS = 150
 
+# Rows of progress by job and page.
+_Pages = dict[str, dict[int, ports.Row]]
+
 
 def load_jobs(owner: ownerstate.Owner) -> None:
     """Read all jobs and their progress; retry until the store responds."""
@@ -27,9 +31,9 @@
             logs.log_event("jobs_unread", "WARNING", detail=error)
             context.clock.sleep_ms(_LOAD_RETRY_MS)
             continue
-        progress_rows = {row.key.key: row for row in progress.rows}
+        pages = _group_pages(progress.rows)
         for row in work.rows:
-            _add_readable_job(owner, row, progress_rows)
+            _add_readable_job(owner, row, pages)
         _record_unconfirmed_workers(owner)
         owner.work.rows = {row.key.key: row for row in work.rows}
         owner.work.version = work.version
@@ -43,6 +47,18 @@
         return
 
 
+def _group_pages(rows: list[ports.Row]) -> _Pages:
+    """Return the rows of progress by job and page."""
+    pages: _Pages = {}
+    for row in rows:
+        try:
+            job_id, page = jobstates.parse_page_key(row.key.key)
+        except ValueError:
+            continue  # The row of another program.
+        pages.setdefault(job_id, {})[page] = row
+    return pages
+
+
 def _record_unconfirmed_workers(owner: ownerstate.Owner) -> None:
     """Record the workers that may run tasks of an earlier owner."""
     for entry in owner.ledger.jobs.values():
@@ -55,41 +71,64 @@
 
 
 def _add_readable_job(
-    owner: ownerstate.Owner, row: ports.Row, progress_rows: dict[str, ports.Row]
+    owner: ownerstate.Owner, row: ports.Row, pages: _Pages
 ) -> None:
     """Add the job of a row, and leave out one that cannot be decoded."""
     try:
-        _add_job(owner, row, progress_rows)
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        _add_job(owner, row, pages)
+    except (
+        AttributeError,
+        IndexError,
+        KeyError,
+        TypeError,
+        ValueError,
+    ) as error:
         logs.log_event(
             "job_unreadable", "ERROR", key=row.key.key, detail=repr(error)
         )
 
 
-def _add_job(
-    owner: ownerstate.Owner, row: ports.Row, progress_rows: dict[str, ports.Row]
-) -> None:
+def _add_job(owner: ownerstate.Owner, row: ports.Row, pages: _Pages) -> None:
     kind, _, job_id = row.key.key.partition(".")
     if kind != "job" or not row.value or job_id in owner.ledger.jobs:
         return
     job = taskjobs.decode_job(row.value)
-    progress_row = progress_rows.get(job_id)
-    if progress_row is not None and progress_row.value:
-        progress = taskprogress.decode_progress(job_id, progress_row.value)
-        version = progress_row.version
-    else:
-        # The progress row was inserted in the same transaction as the job,
-        # so both have the same version.
-        progress = taskprogress.Progress(
-            job.queue, job.account, job.repetitions > 0
-        )
-        version = row.version
-    owner.ledger.jobs[job_id] = ledgers.JobEntry(
-        job, row.version, progress, version
+    # Page 0 was inserted in the same transaction as the job, so without later
+    # pages both have the same version.
+    versions = {0: row.version}
+    progress = taskprogress.Progress(
+        job.queue, job.account, job.repetitions > 0
+    )
+    for page, page_row in sorted(pages.get(job_id, {}).items()):
+        versions[page] = page_row.version
+        if page == 0:
+            progress = taskprogress.decode_progress(job_id, page_row.value)
+        else:
+            taskprogress.add_records(progress, job_id, page_row.value)
+    entry = ledgers.JobEntry(
+        job, row.version, progress, versions[0], owner.context.max_row_bytes
     )
+    entry.page_versions = versions
+    _complete_gangs(entry)
+    if not progress.page_tasks and progresspages.count_pages(entry.layout) > 1:
+        # Earlier versions stored the whole progress in one row.
+        recorded = progresspages.list_recorded_pages(progress, entry.layout)
+        entry.changed_pages = dict.fromkeys(sorted(recorded))
+    owner.ledger.jobs[job_id] = entry
     owner.changed = True
 
 
+def _complete_gangs(entry: ledgers.JobEntry) -> None:
+    """Mark all members of each gang of which a member is done.
+
+    That a gang is done is only certain to be stored on the page of its task 0.
+    """
+    for group, done in entry.progress.done.items():
+        step = entry.job.steps[group.step]
+        if step.gang and done:
+            done.update(range(step.tasks))
+
+
 def apply_work_rows(owner: ownerstate.Owner, rows: list[ports.Row]) -> None:
     """Apply new jobs and cancellations."""
     for row in rows:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerrows.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerrows.py
@@ -1,5 +1,6 @@
 """Rows that the owner writes: job progress and the removal of old jobs."""
 
+from cyclamenshelf_core import progresspages
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon.tasks import advice
@@ -25,12 +26,20 @@
     now_ms = owner.context.clock.now_ms()
     changes: list[writer.JobChange] = []
     rows = size = 0
-    for entry in owner.ledger.jobs.values():
-        if not entry.dirty or entry.rejected_until_ms > now_ms:
-            continue
+    due = [
+        entry
+        for entry in owner.ledger.jobs.values()
+        if entry.dirty and entry.rejected_until_ms <= now_ms
+    ]
+    # A large job that changes all the time must not keep others waiting.
+    due.sort(key=lambda entry: entry.written_ms)
+    for entry in due:
         if rows + 2 > writer.MAX_ROWS or size >= writer.MAX_BYTES:
             break
-        change = _make_change(owner, entry)
+        entry.written_ms = now_ms
+        change = _make_change(
+            owner, entry, writer.MAX_ROWS - rows, writer.MAX_BYTES - size
+        )
         changes.append(change)
         rows += len(change.rows)
         size += sum(len(value or b"") for _, value in change.rows.values())
@@ -44,29 +53,79 @@
 
 
 def _make_change(
-    owner: ownerstate.Owner, entry: ledgers.JobEntry
+    owner: ownerstate.Owner,
+    entry: ledgers.JobEntry,
+    max_rows: int,
+    max_bytes: int,
 ) -> writer.JobChange:
-    """Return the rows of a changed job, and mark it as written."""
-    _update_job_workers(owner, entry)
+    """Return rows of a changed job, and mark their pages as written.
+
+    Pages beyond the limits are left for the next batch.
+
+    Args:
+        owner: The owner.
+        entry: The job.
+        max_rows: Number of rows that there is room for, at least 2.
+        max_bytes: Bytes after which no page is added.
+    """
     job_id = entry.job.id
-    rows: dict[ports.RowKey, tuple[int, bytes | None]] = {
-        jobstates.make_progress_key(job_id): (
-            entry.progress_version,
-            taskprogress.encode_progress(entry.progress),
-        )
-    }
+    rows: dict[ports.RowKey, tuple[int, bytes | None]] = {}
     if entry.has_queued_row and entry.progress.state is not _QUEUED:
         # Inserted in the same transaction as the job's row, so it has
         # the same version.
         queued = jobstates.make_queued_key(entry.job.queue, job_id)
         rows[queued] = (entry.row_version, None)
         entry.has_queued_row = False
-    starts = tuple(ledgers.list_planned_runs(owner.ledger, job_id))
-    ends, entry.unstored_ends = entry.unstored_ends, {}
-    entry.dirty = False
+    entry.changed_pages.pop(0, None)
+    pages = {0}
+    rows[jobstates.make_page_key(job_id, 0)] = _encode_page(owner, entry, 0)
+    size = 0
+    for page in list(entry.changed_pages):
+        if len(rows) >= max_rows or size >= max_bytes:
+            break
+        version, value = _encode_page(owner, entry, page)
+        if value is not None or version:
+            key = jobstates.make_page_key(job_id, page)
+            rows[key] = (version, value)
+            size += len(value or b"")
+        pages.add(page)
+        del entry.changed_pages[page]
+    starts = tuple(
+        run
+        for run in ledgers.list_planned_runs(owner.ledger, job_id)
+        if progresspages.get_page(entry.layout, run.task) in pages
+    )
+    ends = {
+        page: entry.unstored_ends.pop(page)
+        for page in pages
+        if page in entry.unstored_ends
+    }
+    entry.dirty = bool(entry.changed_pages)
     return writer.JobChange(job_id, rows, starts, ends)
 
 
+def _encode_page(
+    owner: ownerstate.Owner, entry: ledgers.JobEntry, page: int
+) -> tuple[int, bytes | None]:
+    """Return the stored version of a page and its new value."""
+    progress, unconfirmed = entry.progress, owner.unconfirmed_workers
+    assigned: progresspages.Assignments = {}
+    for worker_id in unconfirmed & progress.assigned_runs.keys():
+        for task, number in progress.assigned_runs[worker_id].items():
+            if progresspages.get_page(entry.layout, task) == page:
+                assigned.setdefault(worker_id, {})[task] = number
+    for task in progresspages.list_tasks(entry.layout, page):
+        run = owner.ledger.runs.get(task)
+        if run is not None:
+            assigned.setdefault(run.worker_id, {})[task] = run.number
+    # Rows of earlier versions name workers without their runs.
+    others = (progress.workers & unconfirmed) - progress.assigned_runs.keys()
+    value = progresspages.encode_page(
+        progress, entry.layout, page, assigned, others
+    )
+    return entry.page_versions.get(page, 0), value
+
+
 def _list_stored_ends(
     owner: ownerstate.Owner,
 ) -> dict[str, writer.EndNumber]:
@@ -77,9 +136,10 @@
     """
     unstored: dict[tuple[str, int], int] = {}
     for entry in owner.ledger.jobs.values():
-        for worker_id, (started_ms, number) in entry.unstored_ends.items():
-            key = (worker_id, started_ms)
-            unstored[key] = min(number, unstored.get(key, number))
+        for ends in entry.unstored_ends.values():
+            for worker_id, (started_ms, number) in ends.items():
+                key = (worker_id, started_ms)
+                unstored[key] = min(number, unstored.get(key, number))
     stored: dict[str, writer.EndNumber] = {}
     for worker_id, worker in owner.workers.items():
         started_ms, number = worker.info.started_ms, worker.applied_number
@@ -91,25 +151,6 @@
     return stored
 
 
-def _update_job_workers(
-    owner: ownerstate.Owner, entry: ledgers.JobEntry
-) -> None:
-    """Update the workers that may run tasks of a job, and these runs."""
-    unconfirmed = entry.progress.workers & owner.unconfirmed_workers
-    entry.progress.workers = unconfirmed | ledgers.list_job_workers(
-        owner.ledger, entry.job.id
-    )
-    assigned = {
-        worker_id: runs
-        for worker_id, runs in entry.progress.assigned_runs.items()
-        if worker_id in unconfirmed
-    }
-    for run in ledgers.list_job_runs(owner.ledger, entry.job.id):
-        task = taskprogress.get_representative(entry.job, run.task)
-        assigned.setdefault(run.worker_id, {})[task] = run.number
-    entry.progress.assigned_runs = assigned
-
-
 def _list_removals(
     owner: ownerstate.Owner, changed_jobs: set[str], rows: int
 ) -> list[writer.JobChange]:
@@ -132,20 +173,34 @@
             continue
         if rows + 3 > writer.MAX_ROWS:
             break
-        removal = _make_removal(owner, entry)
+        removal = _make_removal(owner, entry, writer.MAX_ROWS - rows)
         removals.append(removal)
         rows += len(removal.rows)
     return removals
 
 
 def _make_removal(
-    owner: ownerstate.Owner, entry: ledgers.JobEntry
+    owner: ownerstate.Owner, entry: ledgers.JobEntry, max_rows: int
 ) -> writer.JobChange:
+    """Return the removal of a job, or of some of its pages if it has many.
+
+    The other pages of a job are removed before page 0, which says that it has
+    ended.
+    """
     job_id = entry.job.id
+    later_pages = entry.page_versions.keys() - {0}
     rows: dict[ports.RowKey, tuple[int, bytes | None]] = {
-        jobstates.make_progress_key(job_id): (entry.progress_version, None),
-        submission.make_work_key(job_id): (entry.row_version, None),
+        jobstates.make_page_key(job_id, page): (
+            entry.page_versions[page],
+            None,
+        )
+        for page in sorted(later_pages)[:max_rows]
     }
+    if len(rows) < len(later_pages) or len(rows) + 3 > max_rows:
+        return writer.JobChange(job_id, rows, (), {})
+    key = jobstates.make_page_key(job_id, 0)
+    rows[key] = (entry.page_versions[0], None)
+    rows[submission.make_work_key(job_id)] = (entry.row_version, None)
     cancel = submission.make_cancel_key(job_id)
     cancel_row = owner.work.rows.get(cancel.key)
     if cancel_row is not None:
@@ -168,8 +223,7 @@
     if not rejected:
         _mark_stored(owner, batch.stored_ends)
     for change in written:
-        for run in change.starts:
-            ownerruns.send_start(owner, run)
+        ownerruns.send_stored_starts(owner, change.starts)
 
 
 def _record_versions(
@@ -177,15 +231,30 @@
     change: writer.JobChange,
     versions: dict[ports.RowKey, int],
 ) -> None:
-    key = jobstates.make_progress_key(change.job_id)
-    if change.rows[key][1] is None:
-        owner.ledger.jobs.pop(change.job_id, None)
-        advice.drop_job(owner.advice, change.job_id)
-        return
     entry = owner.ledger.jobs.get(change.job_id)
-    if entry is not None:
-        entry.progress_version = versions[key]
-        entry.rejections = 0
+    if entry is None:
+        return
+    entry.rejections = 0
+    for page, value in _list_pages(change):
+        if value is not None:
+            key = jobstates.make_page_key(change.job_id, page)
+            entry.page_versions[page] = versions[key]
+            continue
+        entry.page_versions.pop(page, None)
+        if page == 0:
+            del owner.ledger.jobs[change.job_id]
+            advice.drop_job(owner.advice, change.job_id)
+
+
+def _list_pages(
+    change: writer.JobChange,
+) -> list[tuple[int, bytes | None]]:
+    """Return the pages of a change with their values."""
+    return [
+        (jobstates.parse_page_key(key.key)[1], value)
+        for key, (_, value) in change.rows.items()
+        if key.table == jobstates.PROGRESS_TABLE
+    ]
 
 
 def _handle_rejection(
@@ -207,8 +276,12 @@
     entry.rejections += 1
     entry.rejected_until_ms = now_ms + delay_ms
     entry.dirty = True
-    for worker_id, (started_ms, number) in change.ends.items():
-        ledgers.add_unstored_end(entry, worker_id, started_ms, number)
+    entry.changed_pages |= dict.fromkeys(
+        page for page, _ in _list_pages(change)
+    )
+    for page, ends in change.ends.items():
+        for worker_id, end in ends.items():
+            ledgers.add_unstored_end(entry, page, worker_id, end)
     if jobstates.make_queued_key(entry.job.queue, entry.job.id) in change.rows:
         entry.has_queued_row = True
     for run in change.starts:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
@@ -1,5 +1,7 @@
 """Start and stop orders of the owner, and their outcomes."""
 
+from collections.abc import Iterable
+
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_daemon import logs
@@ -120,8 +122,33 @@
             owner.ledger.stops.append(run)
 
 
-def send_start(owner: ownerstate.Owner, run: ledgers.Run) -> None:
-    """Send the start of a planned run, whose worker is stored by now."""
+def send_stored_starts(
+    owner: ownerstate.Owner, runs: Iterable[ledgers.Run]
+) -> None:
+    """Send the starts of planned runs whose workers are stored by now.
+
+    The members of a gang may be stored in several batches. They are sent
+    together, as they work only together.
+    """
+    gangs: dict[taskjobs.Group, None] = {}
+    for run in runs:
+        run.stored = True
+        if not ownerstate.is_live(owner, run):
+            continue
+        group = run.task.group
+        if owner.ledger.jobs[group.job_id].job.steps[group.step].gang:
+            gangs[group] = None
+        else:
+            _send_start(owner, run)
+    for group in gangs:
+        members = ledgers.list_group_runs(owner.ledger, group)
+        if all(member.stored for member in members):
+            for member in members:
+                _send_start(owner, member)
+
+
+def _send_start(owner: ownerstate.Owner, run: ledgers.Run) -> None:
+    """Send the start of a planned run."""
     worker = owner.workers.get(run.worker_id)
     if (
         not ownerstate.is_live(owner, run)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_core import progresspages
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import metrics
 from cyclamenshelf_daemon.tasks import advice
@@ -45,6 +46,7 @@
         registry: Keeps the owner's metrics.
         advise: Requests which workers may run a step; None without a
             recommendation service.
+        max_row_bytes: Size of the largest row that the store accepts.
     """
 
     store: ports.Store
@@ -58,6 +60,7 @@
     keep_ended_ms: int
     registry: metrics.Metrics
     advise: ports.Advise | None = None
+    max_row_bytes: int = progresspages.DEFAULT_MAX_ROW_BYTES
 
 
 class Owner:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/runends.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/runends.py
@@ -1,5 +1,6 @@
 """Apply the ends of runs to the owner's table of jobs and runs."""
 
+from cyclamenshelf_core import progresspages
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_core import workerspeeds
@@ -42,8 +43,12 @@
     if entry.progress.state not in taskprogress.ENDED:
         _apply_to_job(ledger, worker, entry, task, end, now_ms, wall_ms)
     if entry.dirty:
+        recorded_task = taskprogress.get_representative(entry.job, task)
         ledgers.add_unstored_end(
-            entry, worker.info.id, worker.info.started_ms, end.number
+            entry,
+            progresspages.get_page(entry.layout, recorded_task),
+            worker.info.id,
+            (worker.info.started_ms, end.number),
         )
 
 
@@ -86,11 +91,8 @@
         if not step.long_running:
             _mark_done(ledger, entry, task, wall_ms)
         return
-    if step.checkpointable and end.checkpoint:
-        saved = entry.progress.checkpoints.get(recorded_task, "")
-        if end.checkpoint > saved:
-            entry.progress.checkpoints[recorded_task] = end.checkpoint
-            entry.dirty = True
+    if step.checkpointable and _save_checkpoint(entry, task, end.checkpoint):
+        entry.dirty = True
     if end.kind is not ports.EndKind.FAILED:
         return
     if fleet.record_failure(worker, entry.job.id, now_ms):
@@ -104,6 +106,7 @@
         return
     failed = entry.progress.failed_runs.setdefault(recorded_task, set())
     failed.add(end.run)
+    ledgers.mark_changed(entry, recorded_task)
     entry.dirty = True
     if len(failed) >= entry.job.max_attempts:
         ledgers.end_job(
@@ -115,6 +118,32 @@
         )
 
 
+def _save_checkpoint(
+    entry: ledgers.JobEntry, task: taskjobs.Task, checkpoint: str
+) -> bool:
+    """Keep a later checkpoint of a task; return whether there is one.
+
+    One for which the job's rows have no room is not kept: the task then
+    resumes from an earlier one.
+    """
+    recorded_task = taskprogress.get_representative(entry.job, task)
+    saved = entry.progress.checkpoints.get(recorded_task, "")
+    if checkpoint <= saved:
+        return False
+    if not progresspages.fits_checkpoint(entry.layout, checkpoint):
+        logs.log_event(
+            "checkpoint_too_large",
+            "WARNING",
+            task=taskjobs.format_task(task),
+            characters=len(checkpoint),
+            max_bytes=entry.layout.max_checkpoint_bytes,
+        )
+        return False
+    entry.progress.checkpoints[recorded_task] = checkpoint
+    ledgers.mark_changed(entry, recorded_task)
+    return True
+
+
 def _mark_done(
     ledger: ledgers.Ledger,
     entry: ledgers.JobEntry,
@@ -129,6 +158,7 @@
     entry.progress.checkpoints.pop(recorded_task, None)
     entry.progress.failed_runs.pop(recorded_task, None)
     entry.progress.lost_runs.pop(recorded_task, None)
+    ledgers.mark_changed(entry, recorded_task)
     entry.dirty = True
     run = ledger.runs.get(task)
     if run is not None and not step.gang:
@@ -154,10 +184,8 @@
         return
     entry = ledger.jobs[run.task.group.job_id]
     step = entry.job.steps[run.task.group.step]
-    if step.checkpointable and run.checkpoint:
-        recorded_task = taskprogress.get_representative(entry.job, run.task)
-        saved = entry.progress.checkpoints.get(recorded_task, "")
-        entry.progress.checkpoints[recorded_task] = max(saved, run.checkpoint)
+    if step.checkpointable:
+        _save_checkpoint(entry, run.task, run.checkpoint)
     ledgers.remove_run(ledger, run)
     ledgers.stop_other_members(ledger, run, f"member_{reason}")
     logs.log_event(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/submission.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/submission.py
@@ -6,6 +6,7 @@
 
 from cyclamenshelf_core import clock as clocks
 from cyclamenshelf_core import errors
+from cyclamenshelf_core import progresspages
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_daemon import logs
@@ -39,12 +40,14 @@
     Attributes:
         write_timeout: Timeout of writes; after a lost response, the next
             attempt finds out whether the write took effect.
+        max_row_bytes: Size of the largest row that the store accepts.
     """
 
     store: ports.Store
     cached_lists: cachedlists.CachedLists
     clock: clocks.Clock
     write_timeout: adaptivetimeout.AdaptiveTimeout
+    max_row_bytes: int = progresspages.DEFAULT_MAX_ROW_BYTES
 
 
 class Caller(NamedTuple):
@@ -142,6 +145,7 @@
     new ones. No job is accepted under lists that are no longer in force.
 
     Raises:
+        errors.InvalidFieldError: The job is too large to be stored.
         errors.StoreUnavailableError: The job is not stored, and will not be.
         errors.OutcomeUnknownError: The job may or may not be stored.
     """
@@ -154,12 +158,28 @@
         job = make_job(
             admission, job_id, payload, steps, schedule, context.clock.wall_ms()
         )
+        _check_size(context, job)
         outcome = _insert(context, job, lists, deadline_ms, attempts)
         if outcome is not None:
             return outcome
         cachedlists.confirm(context.cached_lists, 0)
 
 
+def _check_size(context: SubmissionContext, job: taskjobs.TaskJob) -> None:
+    """Check that the row of a job is not too large.
+
+    Raises:
+        errors.InvalidFieldError: It is too large.
+    """
+    size = len(taskjobs.encode_job(job))
+    if size > context.max_row_bytes:
+        raise errors.InvalidFieldError(
+            "body",
+            f"a job of at most {context.max_row_bytes} bytes when stored",
+            size,
+        )
+
+
 def _insert(
     context: SubmissionContext,
     job: taskjobs.TaskJob,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/writer.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/writer.py
@@ -33,13 +33,14 @@
         rows: Expected version and value by key; a value of None deletes the
             row.
         starts: Runs whose start orders may be sent once the rows are written.
-        ends: First end on each worker that is durable only with these rows.
+        ends: By page, the first end on each worker that is durable only with
+            these rows.
     """
 
     job_id: str
     rows: dict[ports.RowKey, tuple[int, bytes | None]]
     starts: tuple[ledgers.Run, ...]
-    ends: dict[str, EndNumber]
+    ends: dict[int, dict[str, EndNumber]]
 
 
 class Batch(NamedTuple):
--- a/testing/benchmarks/test_commands.py
+++ b/testing/benchmarks/test_commands.py
@@ -22,6 +22,7 @@
         "placement --sizes=70",
         "replay benchmarks/traces/shelfline.jsonl --policy=firstfit",
         "short_requests --seconds=1 --run-ms=20 --factor=2 --backends=1",
+        "large_jobs --tasks=200 --repeats=1",
         "task_decisions --repeats=1 --sizes=24",
         "taskreplay --seeds=1 --load=small-overload",
     ],
--- a/testing/daemon/tasks/fakefleet.py
+++ b/testing/daemon/tasks/fakefleet.py
@@ -34,6 +34,7 @@
         ignore_stops: Whether stops are acknowledged, and the tasks run on.
         crashing: Prefixes of tasks whose start crashes the worker.
         tickets: Tickets that a start may carry; None if it needs none.
+        poll_s: How long a response to a renewal waits for ends.
         started: Names, numbers and checkpoints of all started runs, in order.
         highest_closed_runs: Highest run number that has ended or was stopped,
             by task name; runs up to it can't be started any more.
@@ -62,6 +63,7 @@
         self.ignore_stops = False
         self.crashing = ()
         self.tickets = None
+        self.poll_s = 0.02
         self.started = []
         self.lock = threading.Lock()
         self.reset()
@@ -170,7 +172,7 @@
         if not renewal.wait_ms:
             threading.Event().wait(0.005)
         else:
-            threading.Event().wait(0.02)
+            threading.Event().wait(self.poll_s)
         with self.lock:
             if refusal := self._check_epoch(renewal.epoch):
                 return refusal
--- a/testing/daemon/tasks/test_planning.py
+++ b/testing/daemon/tasks/test_planning.py
@@ -295,3 +295,36 @@
         )
     idle = planning.list_idle_services(ledger, workers, NOW_MS)
     assert idle == {workers[0].info.service}
+
+
+def count_startable(step, phases):
+    """Return how many tasks of a step can start beside runs in some phases."""
+    ledger = ledgers.Ledger(1)
+    job = builders.make_job("j", step)
+    ledger.jobs["j"] = ledgers.JobEntry(
+        job, 1, taskprogress.Progress("queue", "account"), 1
+    )
+    for index, phase in enumerate(phases):
+        task = taskjobs.Task(taskjobs.Group("j", 0, 0), index)
+        run = ledgers.Run(task, 1, "w0", NOW_MS)
+        run.phase = phase
+        ledgers.add_run(ledger, run)
+    times = planning.Times(NOW_MS, NOW_MS)
+    waiting = planning.list_waiting(ledger, conftest.LISTS, times, set())
+    return sum(len(group.indexes) for group in waiting)
+
+
+@pytest.mark.parametrize(
+    ("step", "phases", "startable"),
+    [
+        (builders.make_step(4_000), [], 256),
+        (builders.make_step(4_000), [ledgers.Phase.STARTING] * 200, 56),
+        (builders.make_step(4_000), [ledgers.Phase.PLANNED] * 256, 0),
+        (builders.make_step(4_000), [ledgers.Phase.RUNNING] * 3_000, 256),
+        (builders.make_step(300, gang=True), [], 300),
+    ],
+    ids=["none", "starting", "planned", "running", "gang"],
+)
+def test_large_step_does_not_fill_the_queue_of_starts(step, phases, startable):
+    # The starts of other jobs waited behind thousands of its own.
+    assert count_startable(step, phases) == startable
--- a/testing/platform/standin.py
+++ b/testing/platform/standin.py
@@ -17,6 +17,10 @@
 SERVER_THREADS = 32
 
 
+# Ends in one response of a worker.
+MAX_LISTED_ENDS = 500
+
+
 class StoreServer:
     """A server of the platform's store API.
 
@@ -87,6 +91,8 @@
             return webserver.make_json(
                 412, {"rows": [encode_row(row) for row in current]}
             )
+        except errors.WriteRejectedError:
+            return webserver.make_json(400, {})
         return webserver.make_json(200, {"row_version": version, "now_ms": 1})
 
     def read(self, request):
@@ -249,7 +255,9 @@
                     [run.name, run.run, run.checkpoint, 100]
                     for run in response.running
                 ],
-                "finished": [list(run) for run in response.ended],
+                "finished": [
+                    list(run) for run in response.ended[:MAX_LISTED_ENDS]
+                ],
             },
         )
 
--- a/testing/platform/test_host.py
+++ b/testing/platform/test_host.py
@@ -17,6 +17,8 @@
 ROOT = pathlib.Path(__file__).parents[2]
 JOB_ID = "00000000000000a1"
 TIMEOUT_S = 30
+# For thousands of tasks, which are started one by one.
+LONG_TIMEOUT_S = 120
 GRACE_S = 6
 JOB_BODY = {"specification": "x", "steps": [{"count": 2, "cpu": 500, "gpu": 1}]}
 
@@ -131,11 +133,11 @@
         )
 
 
-def wait_until(condition, description):
-    deadline = time.monotonic() + TIMEOUT_S
+def wait_until(condition, description, timeout_s=TIMEOUT_S):
+    deadline = time.monotonic() + timeout_s
     while not condition():
         assert time.monotonic() < deadline, (
-            f"timed out after {TIMEOUT_S} s: {description}"
+            f"timed out after {timeout_s} s: {description}"
         )
         time.sleep(0.02)
 
@@ -216,6 +218,62 @@
     assert 'cyclamenshelf_calls_ms_count{method="POST",status="200"} 1' in text
 
 
+def test_largest_job_is_run_beside_others(cluster):
+    # A job whose progress exceeded a row was accepted, and from then on no
+    # task of any job was started.
+    cluster.worker_server.worker.poll_s = 0.5
+    cluster.start_host("a")
+    step = {"count": 10_000, "cpu": 1, "memory_request_mb": 1}
+    assert cluster.call("a", "POST", body={"steps": [step]})[0] == 200
+    other_path = "/q/00000000000000b2"
+    assert cluster.call("a", "POST", other_path, JOB_BODY)[0] == 200
+    worker = cluster.worker_server.worker
+
+    def list_others():
+        return [name for name in list(worker.running) if "b2." in name]
+
+    wait_until(lambda: len(list_others()) == 2, "the other job runs")
+    wait_until(
+        lambda: len(worker.running) == 10_002, "all tasks run", LONG_TIMEOUT_S
+    )
+    for name in list(worker.running):
+        worker.end(name)
+    wait_until(
+        lambda: cluster.call("a", "GET") == (200, {"state": "completed"}),
+        "the job is completed",
+        LONG_TIMEOUT_S,
+    )
+    assert len(worker.started) == 10_002
+
+
+LARGE_STEP = {"count": 10_000}
+
+
+@pytest.mark.parametrize(
+    ("body", "limit"),
+    [
+        ({"steps": [{"count": 10_001}]}, "at most 10000 tasks"),
+        ({"steps": [LARGE_STEP, {"count": -1}]}, "at least 1"),
+        ({"steps": [LARGE_STEP], "repetitions": 11}, "100000 tasks over all"),
+        ({"steps": [{"count": 1}] * 9_000}, "at most 65536 bytes"),
+        (
+            {"steps": [{"count": 1}], "specification": "x" * 65_536},
+            "at most 65536 bytes",
+        ),
+    ],
+    ids=["tasks", "negative", "repeated", "steps", "payload"],
+)
+def test_job_that_cannot_be_kept_is_refused_with_the_limit(
+    cluster, body, limit
+):
+    # The insert was tried again until the deadline, and answered with 503.
+    cluster.start_host("a")
+    status, response = cluster.call("a", "POST", body=body)
+    assert status == 400
+    assert limit in response["reason"]
+    assert cluster.call("a", "GET")[0] == 410
+
+
 def test_host_rejects_calls_while_store_rejects_it(cluster):
     # Guards against accepting a job that cannot be stored, and against a host
     # that stays ready during the outage or does not recover after it.
