Cancel a job for good whose insert is still on its way

Cause: a host that found no row of the job answered that there is none, and wrote nothing. The insert, whose answer was lost, was still carried out afterwards, as its condition (no such job) still held. Class: a "no" that is given as certain while a write that can make it false is on its way.

Ruled out: an owner that misses a cancellation in its feed (the row was never written); the relay, which returns no refusal after an unknown outcome.

Change: a cancellation is stored whether or not the job is there, under the condition on the job's row that was read, and an insert is accepted only where there is no cancellation. A late or repeated insert of any host fails from then on, and a job that is handed in under that id is refused with 410. The owner applies a cancellation and its job in either order, as a host of the version before inserts without the new condition. It removes the row of a job that never came 60 s after the request, so made-up ids fill neither the table nor its memory. On the same path: a request for the state at the host whose insert has no answer gets 504 for 10 s and not 410. Occurrences of a timed job were right and have a test now.

The tests of a stored job pass before and after.

Conclusion: after 2xx or 410 no insert of the job is accepted. A 410 for a state request still tells what the store holds at that time, at other hosts.

--- a/packages/core/src/cyclamenshelf_core/errors.py
+++ b/packages/core/src/cyclamenshelf_core/errors.py
@@ -186,6 +186,13 @@
     status = 409
 
 
+class JobCancelledError(RequestRefusedError):
+    """The job was cancelled before it was stored, and never runs."""
+
+    code = "job_cancelled"
+    status = 410
+
+
 class NeverFitsError(RequestRefusedError):
     """The job exceeds the limits of its plan or the capacity of all workers."""
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/commands.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/commands.py
@@ -8,6 +8,7 @@
 from cyclamenshelf_daemon.tasks import host as hosts
 from cyclamenshelf_daemon.tasks import jobstates
 from cyclamenshelf_daemon.tasks import submission
+from cyclamenshelf_daemon.tasks import unresolvedjobs
 
 _RETRY_MS = 1_000
 # Part of a caller's deadline that is reserved for sending the response.
@@ -77,7 +78,10 @@
         ) from error
     except errors.OutcomeUnknownError:
         logs.log_event("job_outcome_unknown", "WARNING", job=job_id)
+        unresolvedjobs.add_job(host.unresolved_jobs, job_id, clock.now_ms())
         raise
+    if outcome is submission.SubmissionOutcome.CANCELLED:
+        raise errors.JobCancelledError("the job was cancelled")
     if outcome is submission.SubmissionOutcome.NO_QUEUE:
         raise errors.NotFoundError("no queue has this host and path")
     if outcome is submission.SubmissionOutcome.UNKNOWN_KEY:
@@ -95,13 +99,16 @@
         0, timeout_ms - _RESPONSE_MARGIN_MS
     )
     try:
-        return submission.cancel_job(
+        found = submission.cancel_job(
             host.submission_context, job_id, deadline_ms
         )
     except errors.StoreUnavailableError as error:
         raise errors.StoreDownError(
             str(error), retry_after_ms=_RETRY_MS
         ) from error
+    # No insert of the job can be carried out any more.
+    unresolvedjobs.remove_job(host.unresolved_jobs, job_id)
+    return found
 
 
 def read_state(host: hosts.Host, job_id: str) -> taskprogress.State | None:
@@ -110,15 +117,25 @@
     Raises:
         errors.StoreDownError: The state is not cached here, and the store is
             unavailable.
+        errors.OutcomeUnknownError: The job is not stored, and an insert of
+            this host may still be on its way.
     """
     try:
-        return jobstates.read_state(
+        state = jobstates.read_state(
             host.state_cache, host.submission_context.store, job_id
         )
     except errors.StoreUnavailableError as error:
         raise errors.StoreDownError(
             str(error), retry_after_ms=_RETRY_MS
         ) from error
+    now_ms = host.cached_lists.clock.now_ms()
+    if state is None and unresolvedjobs.has_job(
+        host.unresolved_jobs, job_id, now_ms
+    ):
+        raise errors.OutcomeUnknownError(
+            "table", "an insert of the job may still be on its way"
+        )
+    return state
 
 
 def count_pending(host: hosts.Host, admission: submission.Admission) -> int:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -22,6 +22,7 @@
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import relay as relays
 from cyclamenshelf_daemon.tasks import submission
+from cyclamenshelf_daemon.tasks import unresolvedjobs
 
 # Cached lists that were not confirmed for this long may have been replaced.
 MAX_LISTS_AGE_MS = 2_500
@@ -78,6 +79,7 @@
     """A running host.
 
     Attributes:
+        unresolved_jobs: Jobs whose insert had no answer.
         leaving: Set when the host is about to shut down.
         stopping: Set to stop its threads and release its ownership.
     """
@@ -85,6 +87,7 @@
     cached_lists: cachedlists.CachedLists
     state_cache: jobstates.JobStateCache
     submission_context: submission.SubmissionContext
+    unresolved_jobs: unresolvedjobs.UnresolvedJobs
     owner_thread: threading.Thread
     relay: relays.Relay
     leaving: threading.Event
@@ -143,6 +146,7 @@
             adaptivetimeout.AdaptiveTimeout(),
             context.max_row_bytes,
         ),
+        unresolvedjobs.UnresolvedJobs(),
         owner_thread,
         relays.Relay(
             members,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerjobs.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerjobs.py
@@ -130,15 +130,21 @@
 
 
 def apply_work_rows(owner: ownerstate.Owner, rows: list[ports.Row]) -> None:
-    """Apply new jobs and cancellations."""
+    """Apply new jobs and cancellations, in whichever order they come."""
     for row in rows:
         if not _is_cancel(row):
             _add_readable_job(owner, row, {})
     for row in rows:
-        entry = owner.ledger.jobs.get(row.key.key.partition(".")[2])
-        if not _is_cancel(row) or entry is None or row.value is None:
+        job_id = row.key.key.partition(".")[2]
+        if _is_cancel(row):
+            _update_lone_cancellation(owner, job_id, row)
+        entry = owner.ledger.jobs.get(job_id)
+        if entry is None or row.value is None:
             continue
-        if entry.progress.state not in taskprogress.ENDED:
+        cancel_key = submission.make_cancel_key(job_id).key
+        if (
+            _is_cancel(row) or cancel_key in owner.work.rows
+        ) and entry.progress.state not in taskprogress.ENDED:
             ledgers.end_job(
                 owner.ledger,
                 entry,
@@ -147,3 +153,21 @@
                 "cancelled by its caller",
             )
             owner.changed = True
+
+
+def _update_lone_cancellation(
+    owner: ownerstate.Owner, job_id: str, row: ports.Row
+) -> None:
+    """Record a cancellation whose job is not stored, or forget one.
+
+    A clock that is ahead must not keep its row for long.
+    """
+    owner.lone_cancellations.pop(job_id, None)
+    work_key = submission.make_work_key(job_id).key
+    if row.value is None or work_key in owner.work.rows:
+        return
+    requested_ms = min(
+        submission.decode_cancellation(row.value),
+        owner.context.clock.wall_ms(),
+    )
+    owner.lone_cancellations[job_id] = (row.version, requested_ms)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerrows.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerrows.py
@@ -17,6 +17,9 @@
 # longest.
 _MIN_REJECTED_DELAY_MS = 1_000
 _MAX_REJECTED_DELAY_MS = 30_000
+# A cancellation of a job that is not stored outlasts the inserts that are still
+# on their way, and submissions that are repeated some seconds later.
+_KEEP_LONE_CANCELLATION_MS = 60_000
 
 
 def flush_rows(owner: ownerstate.Owner) -> None:
@@ -44,6 +47,8 @@
         rows += len(change.rows)
         size += sum(len(value or b"") for _, value in change.rows.values())
     changes += _list_removals(owner, {c.job_id for c in changes}, rows)
+    rows = sum(len(change.rows) for change in changes)
+    changes += _list_cancellation_removals(owner, writer.MAX_ROWS - rows)
     marks = _list_stored_ends(owner)
     if changes:
         owner.writing = True
@@ -208,6 +213,25 @@
     return writer.JobChange(job_id, rows, (), {})
 
 
+def _list_cancellation_removals(
+    owner: ownerstate.Owner, max_rows: int
+) -> list[writer.JobChange]:
+    """Return the removal of old cancellations of jobs that never came."""
+    before_ms = owner.context.clock.wall_ms() - _KEEP_LONE_CANCELLATION_MS
+    removals: list[writer.JobChange] = []
+    for job_id, (version, requested_ms) in owner.lone_cancellations.items():
+        # Nearly in the order of their times, so later ones can wait.
+        if requested_ms >= before_ms or len(removals) >= max_rows:
+            break
+        rows: dict[ports.RowKey, tuple[int, bytes | None]] = {
+            submission.make_cancel_key(job_id): (version, None)
+        }
+        removals.append(writer.JobChange(job_id, rows, (), {}))
+    for removal in removals:
+        del owner.lone_cancellations[removal.job_id]
+    return removals
+
+
 def handle_written(
     owner: ownerstate.Owner, batch: writer.Batch, result: writer.Result
 ) -> None:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -86,6 +86,8 @@
         decided_ms: Monotonic time of the last decision.
         pause_ms: Minimum time from that decision to the next.
         decision: What that decision left waiting.
+        lone_cancellations: Cancellations of jobs that are not stored: version
+            of the row and Unix time of the request, by job.
         sightings: When jobs were last known to run.
         report_due_ms: Monotonic time of the next report on pending jobs.
         links: Context of the workers' renewal threads; set at the start.
@@ -104,6 +106,7 @@
         self.decided_ms = 0
         self.pause_ms = 0
         self.decision = pendingreasons.NO_DECISION
+        self.lone_cancellations: dict[str, tuple[int, int]] = {}
         self.sightings = pendingjobs.Sightings()
         self.report_due_ms = 0
         self.unconfirmed_workers: set[str] = set()
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/submission.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/submission.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Iterator
 import enum
+import json
 from typing import NamedTuple
 
 from cyclamenshelf_core import clock as clocks
 from cyclamenshelf_core import errors
+from cyclamenshelf_core import jsontexts
 from cyclamenshelf_core import progresspages
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
@@ -30,6 +32,8 @@
 
     STORED = enum.auto()
     ALREADY_STORED = enum.auto()
+    # Cancelled before it was stored; it never will be.
+    CANCELLED = enum.auto()
     NO_QUEUE = enum.auto()
     UNKNOWN_KEY = enum.auto()
 
@@ -187,7 +191,7 @@
     deadline_ms: int,
     attempts: Iterator[int],
 ) -> SubmissionOutcome | None:
-    """Insert a job under one version of the lists.
+    """Insert a job under one version of the lists, unless it was cancelled.
 
     The same transaction is repeated until its outcome is known. A response that
     was lost can therefore not be followed by a decision under newer lists.
@@ -218,7 +222,11 @@
         except errors.WriteConflictError as conflict:
             version = conflict.versions.get(make_work_key(job.id), 0)
             _log_insert(job, lists, version, attempt, unanswered)
-            return SubmissionOutcome.ALREADY_STORED if version else None
+            if version:
+                return SubmissionOutcome.ALREADY_STORED
+            if conflict.versions.get(make_cancel_key(job.id)):
+                return SubmissionOutcome.CANCELLED
+            return None
         except errors.OutcomeUnknownError:
             unanswered += 1
             continue
@@ -269,9 +277,12 @@
     }
     if not timed:
         puts[jobstates.make_queued_key(job.queue, job.id)] = b"{}"
-    return ports.Transaction(
-        {make_work_key(job.id): 0, lists_key: lists.row_version}, puts
-    )
+    checks = {
+        make_work_key(job.id): 0,
+        make_cancel_key(job.id): 0,
+        lists_key: lists.row_version,
+    }
+    return ports.Transaction(checks, puts)
 
 
 def _commit(
@@ -298,6 +309,9 @@
 ) -> bool:
     """Store the request to cancel a job; return whether the job exists.
 
+    The request is stored for a job that is not there as well. An insert whose
+    answer was lost may still be on its way, and is then no longer accepted.
+
     Raises:
         errors.StoreError: The request may not have been stored.
     """
@@ -308,22 +322,46 @@
             raise errors.OutcomeUnknownError(
                 "table", "no time left to store the cancellation"
             )
+        job_version = 0
         try:
             result = context.store.read_row(
                 make_work_key(job_id), min(_READ_TIMEOUT_MS, remaining_ms)
             )
-            if not result.rows:
-                return False
-            checks = {make_work_key(job_id): result.rows[0].version, key: 0}
-            transaction = ports.Transaction(checks, {key: b"{}"})
+            if result.rows:
+                job_version = result.rows[0].version
+            checks = {make_work_key(job_id): job_version, key: 0}
+            value = _encode_cancellation(context.clock.wall_ms())
+            transaction = ports.Transaction(checks, {key: value})
             _commit(context, transaction, remaining_ms)
         except errors.WriteConflictError as conflict:
-            # The job was cancelled earlier, or removed after its end.
-            return conflict.versions.get(key, 0) > 0
+            stored_version = conflict.versions.get(
+                make_work_key(job_id), job_version
+            )
+            if not conflict.versions.get(key) and stored_version:
+                continue  # The job was stored after it was looked for.
+            # It was cancelled earlier, or removed after its end.
+            return stored_version > 0
         except errors.OutcomeUnknownError:
             continue
         except errors.StoreUnavailableError:
             context.clock.sleep_ms(_RETRY_PAUSE_MS)
             continue
-        logs.log_event("cancel_stored", job=job_id)
-        return True
+        logs.log_event("cancel_stored", job=job_id, job_found=job_version > 0)
+        return job_version > 0
+
+
+def _encode_cancellation(wall_ms: int) -> bytes:
+    return json.dumps({"requested_ms": wall_ms}).encode()
+
+
+def decode_cancellation(value: bytes) -> int:
+    """Return the Unix time in ms of a request to cancel a job.
+
+    It is 0 for a row of an earlier version, or of another program.
+    """
+    try:
+        row = jsontexts.decode(value)
+        requested_ms = row.get("requested_ms", 0)
+    except (AttributeError, ValueError):
+        return 0
+    return requested_ms if type(requested_ms) is int else 0
