Write the page of an end that has changed nothing

Callers saw nothing yet: found by reading. A worker lists an end of a run that the owner doesn't know, for a job of several pages with other changes.

Cause: the end was kept back until its page is written, and nothing marked that page as changed. If no other task of the page changed, that and all later ends of the worker were never acknowledged.

Change: what keeps an end back also marks its page.

Test: test_end_of_a_run_that_is_not_known_is_acknowledged fails on (not within 20 s) and passes now.

Conclusion: an end is kept back only as long as a page is due to be written.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -349,6 +349,7 @@
 ) -> None:
     """Record that the effects of an end on a job's progress are not stored.
 
+    They are once the page is written, even if the end has not changed it.
     Only the latest incarnation of a worker can list its ends again.
 
     Args:
@@ -357,6 +358,7 @@
         worker_id: The worker that listed the end.
         end: Start time of the worker and number of the end.
     """
+    entry.changed_pages[page] = None
     ends = entry.unstored_ends.setdefault(page, {})
     started_ms, number = ends.get(worker_id, end)
     if started_ms == end[0]:
--- a/testing/daemon/tasks/test_largejobs.py
+++ b/testing/daemon/tasks/test_largejobs.py
@@ -114,6 +114,21 @@
     assert len(pages) == 2
 
 
+def test_end_of_a_run_that_is_not_known_is_acknowledged(cell, large_job):
+    # It changes no page, and held all later ends of its worker.
+    worker = cell.workers[0]
+    names = sorted(worker.running)
+    with worker.lock:
+        worker._end(names[0], ports.EndKind.DONE)
+        worker.ended_count += 1
+        worker.ended.append(
+            ports.EndedTask(
+                worker.ended_count, names[-1], 1, ports.EndKind.STOPPED, ""
+            )
+        )
+    conftest.wait_until(lambda: not worker.ended, "both are acknowledged")
+
+
 def test_all_pages_of_an_old_large_job_are_removed(cell, large_job):
     assert len(list_pages(cell, large_job)) > 10
     cell.end_all(large_job)
