Share the starts that are on their way among all steps

LOST allows 3 s.

Cause: all starts are sent in turn by 32 threads, some 800 a second, and only each step had a limit. A gang of thousands can't start at all: a start that has waited for 1.5 s is dropped, and members wait for each other for 3 s at most.

Ruled out: the time of a decision (38 ms for the largest job). Tried and replaced: half of what is left for each step in the order of the plan; the last steps of ten got nothing (4.7 s).

Change: 512 starts are on their way at a time, and the steps of a plan share what is left such that none has more than another that waits. A gang goes as a whole if there is any room. A gang of more than 512 tasks, four times the target, is refused with 400 and the limit.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -28,6 +28,7 @@
 from cyclamenshelf_daemon.tasks import pendingreasons
 from cyclamenshelf_daemon.tasks import pendingreports
 from cyclamenshelf_daemon.tasks import planning
+from cyclamenshelf_daemon.tasks import startqueue
 from cyclamenshelf_daemon.tasks import stopmetrics
 from cyclamenshelf_daemon.tasks import suspension
 from cyclamenshelf_daemon.tasks import waitreports
@@ -261,7 +262,7 @@
                 owner.ledger, run, f"room_for_{stop.beneficiary.job_id}"
             )
     slack_by_group = {entry.group: entry.slack_ms for entry in waiting}
-    for start in decision.starts:
+    for start in startqueue.limit_starts(owner.ledger, decision.starts):
         _start_group(owner, start, slack_by_group[start.group], times.now_ms)
     unstarted = impossible.union(decision.blocked)
     waitreports.report_waiting_groups(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -19,22 +19,18 @@
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import lostworkers
 from cyclamenshelf_daemon.tasks import queues
+from cyclamenshelf_daemon.tasks import startqueue
 
 # Time that a start from a checkpoint loses.
 _RESTORE_MS = 100
 # A stop that takes longer is not certain to free the resources of its run soon.
 _MAX_STOP_MS = 2_000
-# Tasks of a step that are started at a time, unless they are a gang. The starts
-# of other jobs would wait behind those of thousands of tasks.
-_MAX_PENDING_STARTS = 256
 # Phases of runs that work, or will soon.
 _AT_WORK = (
     ledgers.Phase.PLANNED,
     ledgers.Phase.STARTING,
     ledgers.Phase.RUNNING,
 )
-# Phases of runs whose start is not acknowledged yet.
-_STARTING = (ledgers.Phase.PLANNED, ledgers.Phase.STARTING)
 
 
 class Times(NamedTuple):
@@ -346,9 +342,9 @@
         for index in range(step.tasks)
         if index not in done and index not in live
     ]
-    if not step.gang and len(indexes) > _MAX_PENDING_STARTS:
-        pending = sum(run.phase in _STARTING for run in runs.values())
-        indexes = indexes[: max(0, _MAX_PENDING_STARTS - pending)]
+    if not step.gang and len(indexes) > startqueue.MAX_STEP_STARTS:
+        pending = startqueue.count_pending(runs.values())
+        indexes = indexes[: max(0, startqueue.MAX_STEP_STARTS - pending)]
     suspected = [
         index
         for index in (indexes if entry.progress.lost_runs else ())
--- a/testing/platform/test_host.py
+++ b/testing/platform/test_host.py
@@ -287,13 +287,17 @@
         ({"steps": [{"count": 10_001}]}, "at most 10000 tasks"),
         ({"steps": [LARGE_STEP, {"count": -1}]}, "at least 1"),
         ({"steps": [LARGE_STEP], "repetitions": 11}, "100000 tasks over all"),
+        (
+            {"steps": [{"count": 513, "gang_scheduled": True}]},
+            "a gang of at most 512 tasks",
+        ),
         ({"steps": [{"count": 1}] * 9_000}, "at most 65536 bytes"),
         (
             {"steps": [{"count": 1}], "specification": "x" * 65_536},
             "at most 65536 bytes",
         ),
     ],
-    ids=["tasks", "negative", "repeated", "steps", "payload"],
+    ids=["tasks", "negative", "repeated", "gang", "steps", "payload"],
 )
 def test_job_that_cannot_be_kept_is_refused_with_the_limit(
     cluster, body, limit
