Keep the stops of a large job from holding everything else

Cause, three parts of one: all stops were passed to the pool at once, which took the owner's thread 6.3 s of which 0.3 s were processor time, as the pool's threads were at work meanwhile (measured by phase of the owner's loop); a stop that waited for its turn for 1.5 s counted as unanswered and was queued again (5,888 stops for 4,000 tasks in the test); and starts waited behind them. Besides, the owner ran calls of other threads until none was left, and they came faster than they were run.

Ruled out: the planner and the store (no decision was made at all meanwhile).

Change: 256 stops are on their way at a time, in threads of their own; a stop is repeated 1.5 s after it was left without an acknowledgement, and not while it waits; calls of other threads get 50 ms a round. The thread of a worker that lists over 100 tasks pauses for 0.4 ms a task, 0.5 s at most.

The stops themselves are bound by what one process sends, about 1,000 a second, which this doesn't change: open.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -45,7 +45,9 @@
         listed: Whether its worker has listed it as running, so it is known
             which incarnation of the worker has started it.
         stop_acked_ms: Monotonic time at which a stop was acknowledged.
-        stop_sent_ms: Monotonic time at which a stop was last sent.
+        stop_failed_ms: Monotonic time at which a stop was last left without
+            an acknowledgement; None while one is on its way, which may be long
+            where thousands wait for their turn.
         first_stop_ms: Monotonic time at which a stop was first sent.
         checkpoint: Latest checkpoint that the worker has listed.
         reason: Why it is being stopped.
@@ -69,7 +71,7 @@
         self.acked_ms: int | None = None
         self.listed = False
         self.stop_acked_ms: int | None = None
-        self.stop_sent_ms: int | None = None
+        self.stop_failed_ms: int | None = None
         self.first_stop_ms: int | None = None
         self.checkpoint = ""
         self.reason = ""
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/links.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/links.py
@@ -24,6 +24,10 @@
 _LAPSED_PAUSE_MS = 400
 # Pause after an unexpected error, which limits its log lines.
 _FAILURE_PAUSE_MS = 1_000
+# Tasks in a response after which the next renewal waits for each of them.
+_LONG_LIST = 100
+_LISTED_TASK_PAUSE_S = 0.0004
+_MAX_LIST_PAUSE_S = 0.5
 
 
 class LinkContext(NamedTuple):
@@ -163,6 +167,12 @@
     if response.started_ms < worker.info.started_ms:
         worker.closing.wait(_RETRY_PAUSE_MS / 1000)
         return "earlier_incarnation"
+    listed = len(response.running) + len(response.ended)
+    if listed > _LONG_LIST:
+        # A worker whose thousands of tasks end one by one would otherwise keep
+        # the owner busy with its lists.
+        pause_s = min(_MAX_LIST_PAUSE_S, listed * _LISTED_TASK_PAUSE_S)
+        worker.closing.wait(pause_s)
     if any(end.number > worker.stored_number for end in response.ended):
         worker.stored.wait(_STORED_WAIT_MS / 1000)
     elif worker.pause_ms and not worker.closing.is_set():
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/orders.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/orders.py
@@ -35,7 +35,8 @@
     """
 
     workers: ports.WorkerClient
-    pool: concurrent.futures.ThreadPoolExecutor
+    start_pool: concurrent.futures.ThreadPoolExecutor
+    stop_pool: concurrent.futures.ThreadPoolExecutor
     tenure: ownership.Tenure
     clock: clocks.Clock
     lease_ms: int
@@ -62,7 +63,13 @@
 ) -> None:
     """Send a start in a thread of the pool."""
     _submit(
-        context, "start_failed", _deliver_or_give_up_start, worker, run, start
+        context,
+        context.start_pool,
+        "start_failed",
+        _deliver_or_give_up_start,
+        worker,
+        run,
+        start,
     )
 
 
@@ -70,7 +77,14 @@
     context: OrderContext, worker: fleet.Worker, run: ledgers.Run
 ) -> None:
     """Send a stop in a thread of the pool."""
-    _submit(context, "stop_failed", _deliver_stop, worker, run)
+    _submit(
+        context,
+        context.stop_pool,
+        "stop_failed",
+        _deliver_or_give_up_stop,
+        worker,
+        run,
+    )
 
 
 def send_orphan_stop(
@@ -79,6 +93,7 @@
     """Send a stop for a run that the owner does not need."""
     _submit(
         context,
+        context.stop_pool,
         "foreign_stop_failed",
         _deliver_orphan_stop,
         worker,
@@ -88,12 +103,14 @@
 
 
 def _submit(
-    context: OrderContext, event: str, call: Callable, *arguments: object
+    context: OrderContext,
+    pool: concurrent.futures.ThreadPoolExecutor,
+    event: str,
+    call: Callable,
+    *arguments: object,
 ) -> None:
     try:
-        context.pool.submit(
-            supervision.run_logged, event, call, context, *arguments
-        )
+        pool.submit(supervision.run_logged, event, call, context, *arguments)
     except RuntimeError:
         # The pool is shut down at the end of the tenure.
         logs.log_event("order_dropped", order=event)
@@ -154,6 +171,16 @@
         context.on_not_sent(run)
 
 
+def _deliver_or_give_up_stop(
+    context: OrderContext, worker: fleet.Worker, run: ledgers.Run
+) -> None:
+    """Send a stop; after an unexpected error, it has to be sent again."""
+    if not supervision.run_logged(
+        "stop_failed", _deliver_stop, context, worker, run
+    ):
+        context.on_stopped(run, False)
+
+
 def _deliver_stop(
     context: OrderContext, worker: fleet.Worker, run: ledgers.Run
 ) -> None:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -46,6 +46,8 @@
 _SETTLING_RETRY_MS = 10
 # Collects task ends and jobs that arrive together into one decision.
 _BATCHING_DELAY_MS = 5
+# Time for the calls of one round, after which the owner decides and writes.
+_MAX_CALLS_MS = 50
 
 
 def start_owner(
@@ -86,7 +88,8 @@
     )
     owner.orders = orders.OrderContext(
         context.workers,
-        owner.pool,
+        owner.start_pool,
+        owner.stop_pool,
         owner.tenure,
         context.clock,
         context.lease_ms,
@@ -118,7 +121,8 @@
         owner.batches.put(None)
         for worker in owner.workers.values():
             fleet.close_worker(worker)
-        owner.pool.shutdown(wait=False, cancel_futures=True)
+        for pool in (owner.start_pool, owner.stop_pool):
+            pool.shutdown(wait=False, cancel_futures=True)
         pendingreports.clear_metric(owner.context.registry)
         logs.log_event("owner_ended", epoch=owner.tenure.epoch)
 
@@ -148,14 +152,20 @@
 
 
 def _run_calls(owner: ownerstate.Owner) -> None:
-    """Wait for the next call, then run all pending calls."""
+    """Wait for the next call, then run pending calls for a limited time.
+
+    While thousands of tasks end, calls arrive faster than they are run, and
+    decisions and writes must not wait for a pause.
+    """
     try:
         call = owner.calls.get(timeout=_choose_wait_ms(owner) / 1000)
     except queue.Empty:
         return
     call()
-    owner.context.clock.sleep_ms(_BATCHING_DELAY_MS)
-    while not owner.calls.empty():
+    clock = owner.context.clock
+    clock.sleep_ms(_BATCHING_DELAY_MS)
+    until_ms = clock.now_ms() + _MAX_CALLS_MS
+    while not owner.calls.empty() and clock.now_ms() < until_ms:
         owner.calls.get()()
 
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
@@ -16,6 +16,8 @@
 
 _TICK_MS = 200
 _RESEND_STOP_MS = 1_500
+# Stops that are on their way at a time.
+_MAX_PENDING_STOPS = 256
 # Refusals that say nothing of the task, so that it may start elsewhere.
 _REFUSALS_OF_WORKER = (ports.Refusal.NO_ROOM, ports.Refusal.UNHEALTHY)
 
@@ -79,6 +81,7 @@
     owner: ownerstate.Owner, run: ledgers.Run, acknowledged: bool
 ) -> None:
     """Record whether a stop was acknowledged."""
+    owner.pending_stops -= 1
     if acknowledged and run.stop_acked_ms is None:
         run.stop_acked_ms = owner.context.clock.now_ms()
         worker = owner.workers.get(run.worker_id)
@@ -86,7 +89,7 @@
             worker.list_soon = True
             fleet.wake_worker(worker, run.stop_acked_ms)
     if not acknowledged:
-        run.stop_sent_ms = owner.context.clock.now_ms()
+        run.stop_failed_ms = owner.context.clock.now_ms()
 
 
 def _mark_job_running(owner: ownerstate.Owner, run: ledgers.Run) -> None:
@@ -115,10 +118,10 @@
         if (
             run.phase in (ledgers.Phase.STOPPING, ledgers.Phase.LOST)
             and run.stop_acked_ms is None
-            and run.stop_sent_ms is not None
-            and now_ms - run.stop_sent_ms > _RESEND_STOP_MS
-            and run not in owner.ledger.stops
+            and run.stop_failed_ms is not None
+            and now_ms - run.stop_failed_ms > _RESEND_STOP_MS
         ):
+            run.stop_failed_ms = None
             owner.ledger.stops.append(run)
 
 
@@ -196,13 +199,20 @@
 
 
 def send_stops(owner: ownerstate.Owner) -> None:
-    """Send the stops that are new or due to be repeated."""
-    stops, owner.ledger.stops = owner.ledger.stops, []
+    """Send stops that are new or due to be repeated, some at a time.
+
+    Passing thousands to the pool at once takes seconds, as its threads are at
+    work meanwhile.
+    """
+    count = max(0, _MAX_PENDING_STOPS - owner.pending_stops)
+    stops = owner.ledger.stops[:count]
+    del owner.ledger.stops[:count]
     now_ms = owner.context.clock.now_ms()
     for run in stops:
         worker = owner.workers.get(run.worker_id)
-        run.stop_sent_ms = now_ms
         if run.first_stop_ms is None:
             run.first_stop_ms = now_ms
+        run.stop_failed_ms = now_ms if worker is None else None
         if worker is not None and ownerstate.is_live(owner, run):
+            owner.pending_stops += 1
             orders.send_stop(owner.orders, worker, run)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -23,7 +23,10 @@
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import submission
 
-_POOL_THREADS = 32
+# Starts and stops have threads of their own: the stops of a cancelled job of
+# thousands of tasks must not keep the starts of others waiting.
+_START_THREADS = 32
+_STOP_THREADS = 16
 _RETRY_GROUP_MS = 150
 # Slowest rate of a worker's clock: bounds the end of a lease that an earlier
 # owner granted at the end of its tenure.
@@ -90,6 +93,7 @@
             of the row and Unix time of the request, by job.
         sightings: When jobs were last known to run.
         report_due_ms: Monotonic time of the next report on pending jobs.
+        pending_stops: Number of stops that are on their way.
         links: Context of the workers' renewal threads; set at the start.
         orders: Context of start and stop orders; set at the start.
     """
@@ -124,7 +128,9 @@
         self.advice = advice.Advice()
         self.log_limiter = logs.EventLimiter()
         self.work = following.TableCopy(submission.WORK_TABLE)
-        self.pool = concurrent.futures.ThreadPoolExecutor(_POOL_THREADS)
+        self.start_pool = concurrent.futures.ThreadPoolExecutor(_START_THREADS)
+        self.stop_pool = concurrent.futures.ThreadPoolExecutor(_STOP_THREADS)
+        self.pending_stops = 0
         self.links: links.LinkContext | None = None
         self.orders: orders.OrderContext | None = None
 
--- a/testing/daemon/tasks/fakefleet.py
+++ b/testing/daemon/tasks/fakefleet.py
@@ -35,6 +35,8 @@
         crashing: Prefixes of tasks whose start crashes the worker.
         tickets: Tickets that a start may carry; None if it needs none.
         poll_s: How long a response to a renewal waits for ends.
+        stop_s: How long a response to a stop takes.
+        stop_count: Number of stops that it was sent.
         started: Names, numbers and checkpoints of all started runs, in order.
         highest_closed_runs: Highest run number that has ended or was stopped,
             by task name; runs up to it can't be started any more.
@@ -64,6 +66,8 @@
         self.crashing = ()
         self.tickets = None
         self.poll_s = 0.02
+        self.stop_s = 0
+        self.stop_count = 0
         self.started = []
         self.lock = threading.Lock()
         self.reset()
@@ -145,6 +149,8 @@
         return refusal
 
     def stop(self, order, timeout_ms):
+        self.stop_count += 1
+        time.sleep(self.stop_s)
         if self.unresponsive:
             raise ports.WorkerSilentError("worker unresponsive")
         with self.lock:
--- a/testing/daemon/tasks/test_largejobs.py
+++ b/testing/daemon/tasks/test_largejobs.py
@@ -206,3 +206,26 @@
     assert len(cell.list_runs(job_id)) == 250
     page_tasks = cell.read(job_id).page_tasks
     assert cell.read(job_id).done[group] == set(range(page_tasks))
+
+
+def test_cancelled_large_job_does_not_hold_the_starts_of_others(
+    cell, large_job
+):
+    # Starts waited behind thousands of stops, and stops that waited for their
+    # turn were sent again.
+    for worker in cell.workers:
+        worker.stop_s = 0.02
+
+    def count_stops():
+        return sum(worker.stop_count for worker in cell.workers)
+
+    cell.cancel(large_job)
+    conftest.wait_until(lambda: count_stops() > 100, "it is being stopped")
+    other = cell.submit(builders.make_step(1))
+    cell.wait_for_runs(other, 1)
+    assert count_stops() < TASKS // 2
+    ledger = cell.owners[0].ledger
+    conftest.wait_until(
+        lambda: not ledger.by_job.get(large_job), "all are stopped"
+    )
+    assert count_stops() == TASKS
