Move the limits of a job's size from the adapter to core

Cause: the adapter to the platform decides nothing, and the limits of tasks, repetitions and gangs stood there; the one of the row stood with the insert.

Change: core/joblimits has all of them, with tests that need no process. What is refused, and with which text, is unchanged.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/submission.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/submission.py
@@ -7,6 +7,7 @@
 
 from cyclamenshelf_core import clock as clocks
 from cyclamenshelf_core import errors
+from cyclamenshelf_core import joblimits
 from cyclamenshelf_core import jsontexts
 from cyclamenshelf_core import progresspages
 from cyclamenshelf_core import taskjobs
@@ -162,28 +163,13 @@
         job = make_job(
             admission, job_id, payload, steps, schedule, context.clock.wall_ms()
         )
-        _check_size(context, job)
+        joblimits.check_row(job, context.max_row_bytes)
         outcome = _insert(context, job, lists, deadline_ms, attempts)
         if outcome is not None:
             return outcome
         cachedlists.confirm(context.cached_lists, 0)
 
 
-def _check_size(context: SubmissionContext, job: taskjobs.TaskJob) -> None:
-    """Check that the row of a job is not too large.
-
-    Raises:
-        errors.InvalidFieldError: It is too large.
-    """
-    size = len(taskjobs.encode_job(job))
-    if size > context.max_row_bytes:
-        raise errors.InvalidFieldError(
-            "body",
-            f"a job of at most {context.max_row_bytes} bytes when stored",
-            size,
-        )
-
-
 def _insert(
     context: SubmissionContext,
     job: taskjobs.TaskJob,
