Wait before a rejected removal is tried again

Callers saw nothing: found by reading the change of the rejected writes. The rows of an old job whose removal the store rejects for good were removed again at once, as only changes had a delay.

Cause: the delay after a rejection was looked at for changed jobs and not for removals.

Test: test_rejected_removal_is_not_repeated_at_once fails on (6 ms between two tries) and passes now.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerrows.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerrows.py
@@ -46,7 +46,7 @@
         changes.append(change)
         rows += len(change.rows)
         size += sum(len(value or b"") for _, value in change.rows.values())
-    changes += _list_removals(owner, {c.job_id for c in changes}, rows)
+    changes += _list_removals(owner, {c.job_id for c in changes}, rows, now_ms)
     rows = sum(len(change.rows) for change in changes)
     changes += _list_cancellation_removals(owner, writer.MAX_ROWS - rows)
     marks = _list_stored_ends(owner)
@@ -157,7 +157,7 @@
 
 
 def _list_removals(
-    owner: ownerstate.Owner, changed_jobs: set[str], rows: int
+    owner: ownerstate.Owner, changed_jobs: set[str], rows: int, now_ms: int
 ) -> list[writer.JobChange]:
     """Return the removal of jobs that ended before the retention period.
 
@@ -165,6 +165,7 @@
         owner: The owner.
         changed_jobs: Jobs of which the batch contains rows.
         rows: Number of rows in the batch.
+        now_ms: The monotonic time.
     """
     ended_before_ms = (
         owner.context.clock.wall_ms() - owner.context.keep_ended_ms
@@ -176,6 +177,8 @@
         job_id = entry.job.id
         if job_id in changed_jobs or job_id in owner.ledger.by_job:
             continue
+        if entry.rejected_until_ms > now_ms:
+            continue
         if rows + 3 > writer.MAX_ROWS:
             break
         removal = _make_removal(owner, entry, writer.MAX_ROWS - rows)
--- a/testing/daemon/tasks/test_rejected_writes.py
+++ b/testing/daemon/tasks/test_rejected_writes.py
@@ -97,3 +97,28 @@
         cell.wait_for_runs(other, 1)
     # Eight changes: one rejection on each level until one change is left.
     assert rejection.count <= 4
+
+
+def test_rejected_removal_is_not_repeated_at_once(cell):
+    # The owner and the store were busy with it all the time.
+    cell.start_owner()
+    job_id = cell.submit(builders.make_step(1))
+    cell.wait_for_runs(job_id, 1)
+    cell.end_all(job_id)
+    cell.wait_for_state(job_id, COMPLETED)
+    key, rejected = jobstates.make_progress_key(job_id), []
+
+    def reject_removal(transaction):
+        if key in transaction.deletes:
+            rejected.append(time.monotonic())
+            raise errors.WriteRejectedError("table", "status 400")
+
+    cell.fake_store.before_commit = reject_removal
+    entry = cell.owners[0].ledger.jobs[job_id]
+    entry.progress.ended_ms = 1
+    conftest.wait_until(lambda: len(rejected) == 2, "it is tried again")
+    assert rejected[1] - rejected[0] >= 0.9
+    cell.fake_store.before_commit = lambda transaction: None
+    conftest.wait_until(
+        lambda: key not in cell.fake_store.rows, "it is removed"
+    )
