Offer the ownership when the store rejects the owner

Change: an owner whose renewal has failed and whose lease is valid for less than 0.75 s offers the ownership to up to three hosts with a processor and a fast link. They acquire the lease if its row is still the one that the offer names, so that a lost answer changes no owner. A host with a slow link leaves an available lease to others, and releases that of its own ended process. Fit hosts poll the lease each 150 ms for 3 s after their start. The rows of the lease move to a module of their own.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -7,9 +7,11 @@
 
 from cyclamenshelf_core import clock as clocks
 from cyclamenshelf_core import progresspages
+from cyclamenshelf_core.failover import candidates
 from cyclamenshelf_daemon import httpclient
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import metrics
+from cyclamenshelf_daemon import webserver
 from cyclamenshelf_daemon.tasks import adaptivetimeout
 from cyclamenshelf_daemon.tasks import cachedlists
 from cyclamenshelf_daemon.tasks import following
@@ -23,6 +25,8 @@
 from cyclamenshelf_daemon.tasks import relay as relays
 from cyclamenshelf_daemon.tasks import submission
 from cyclamenshelf_daemon.tasks import unresolvedjobs
+from cyclamenshelf_daemon.tasks.failover import handover
+from cyclamenshelf_daemon.tasks.failover import leaserows
 
 # Cached lists that were not confirmed for this long may have been replaced.
 MAX_LISTS_AGE_MS = 2_500
@@ -41,8 +45,8 @@
         data_centre: Data centre in which this host runs.
         peer_address: Address at which this host accepts calls that other
             hosts relay.
-        processors: Number of processors that this host may use.
-        cross_part_transactions: See `ownership.make_lease_key`.
+        capacity: What this host may use.
+        cross_part_transactions: See `leaserows.make_lease_key`.
         lists_key: Key of the row of the operators' lists.
         decode_lists: Returns the lists of that row, or None if it is invalid.
         workers_table: See `ownerstate.OwnerContext`.
@@ -61,7 +65,7 @@
     holder: str
     data_centre: str
     peer_address: str
-    processors: float
+    capacity: candidates.HostCapacity
     cross_part_transactions: bool
     lists_key: ports.RowKey
     decode_lists: Callable[[ports.Row], queues.Lists | None]
@@ -80,6 +84,7 @@
 
     Attributes:
         unresolved_jobs: Jobs whose insert had no answer.
+        offers: Receives the offers of owners that do not reach the store.
         leaving: Set when the host is about to shut down.
         stopping: Set to stop its threads and release its ownership.
     """
@@ -90,6 +95,7 @@
     unresolved_jobs: unresolvedjobs.UnresolvedJobs
     owner_thread: threading.Thread
     relay: relays.Relay
+    offers: handover.OfferInbox
     leaving: threading.Event
     stopping: threading.Event
 
@@ -118,20 +124,28 @@
         context.advise,
         context.max_row_bytes,
     )
+    members = memberships.Members(
+        memberships.Member(
+            context.holder,
+            context.peer_address,
+            context.data_centre,
+            *context.capacity,
+        )
+    )
+    generator = random.Random()
+    peer_pool = httpclient.make_pool(_PEER_CONNECTIONS)
+    offers = handover.OfferInbox()
     owner_thread = ownership.start_lease_thread(
         ownership.OwnershipContext(
             store,
             clock,
             context.holder,
-            context.processors,
-            ownership.make_lease_key(context.cross_part_transactions),
+            context.capacity,
+            leaserows.make_lease_key(context.cross_part_transactions),
             lambda tenure: owners.start_owner(owner_context, tenure),
-            stopping=stopping,
-        )
-    )
-    members = memberships.Members(
-        memberships.Member(
-            context.holder, context.peer_address, context.data_centre
+            stopping,
+            offers,
+            handover.make_offer(members, peer_pool, clock, generator),
         )
     )
     memberships.start_refreshing(members, store, clock, stopping)
@@ -148,13 +162,8 @@
         ),
         unresolvedjobs.UnresolvedJobs(),
         owner_thread,
-        relays.Relay(
-            members,
-            cached_lists,
-            httpclient.make_pool(_PEER_CONNECTIONS),
-            clock,
-            random.Random(),
-        ),
+        relays.Relay(members, cached_lists, peer_pool, clock, generator),
+        offers,
         threading.Event(),
         stopping,
     )
@@ -171,9 +180,23 @@
     )
 
 
+def handle_peer_request(
+    host: Host,
+    request: webserver.Request,
+    handle_call: Callable[[], webserver.Response],
+) -> webserver.Response:
+    """Handle a request of another host: an offer or a call that it relays."""
+    if request.path == handover.PATH:
+        return handover.handle_request(
+            host.offers, host.cached_lists.clock, request
+        )
+    return relays.handle_relayed_call(host.relay, handle_call)
+
+
 def hand_over(host: Host, timeout_ms: int) -> None:
     """Release the ownership, so that another host can take over at once."""
     host.leaving.set()
     host.stopping.set()
+    host.offers.wake.set()
     host.owner_thread.join(timeout_ms / 1000)
     logs.log_event("host_handed_over", ended=not host.owner_thread.is_alive())
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/members.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/members.py
@@ -4,12 +4,14 @@
 import random
 import threading
 from typing import NamedTuple
+from typing import NotRequired
 from typing import TypedDict
 
 from cyclamenshelf_core import addresses
 from cyclamenshelf_core import clock as clocks
 from cyclamenshelf_core import errors
 from cyclamenshelf_core import jsontexts
+from cyclamenshelf_core.failover import candidates
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import supervision
 from cyclamenshelf_daemon.tasks import ports
@@ -23,17 +25,27 @@
 
 
 class Member(NamedTuple):
-    """An entry host and the address at which it accepts relayed calls."""
+    """An entry host and the address at which it accepts relayed calls.
+
+    Attributes:
+        processors: Number of processors that it may use; 0 if not known.
+        link_mbps: Rate of its network link in Mbit/s; 0 if not known.
+    """
 
     name: str
     address: str
     data_centre: str
+    processors: float = 0.0
+    link_mbps: float = 0.0
 
 
 class _MemberRow(TypedDict):
     name: str
     address: str
     data_centre: str
+    # Missing in rows of earlier versions.
+    processors: NotRequired[float]
+    link_mbps: NotRequired[float]
 
 
 class Members:
@@ -87,6 +99,11 @@
     return usable
 
 
+def get_capacity(member: Member) -> candidates.HostCapacity:
+    """Return what a host may use."""
+    return candidates.HostCapacity(member.processors, member.link_mbps)
+
+
 def record_unresponsive(members: Members, member: Member, now_ms: int) -> None:
     """Exclude a host that did not respond from calls for a while."""
     with members.lock:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownership.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownership.py
@@ -11,40 +11,33 @@
 """
 
 from collections.abc import Callable
-import json
 import threading
 from typing import NamedTuple
-from typing import NotRequired
-from typing import TypedDict
 
 from cyclamenshelf_core import clock as clocks
 from cyclamenshelf_core import errors
-from cyclamenshelf_core import jsontexts
 from cyclamenshelf_core import tenure as lease_times
+from cyclamenshelf_core.failover import candidates
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import supervision
 from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks.failover import handover
+from cyclamenshelf_daemon.tasks.failover import leaserows
 
-TABLE = "cell"
-EPOCH_KEY = ports.RowKey(TABLE, "epoch")
-_LEASE_KEY = ports.RowKey(TABLE, "lease")
-# The lease has its own partition, so that renewals do not queue behind the
-# transactions of jobs, which take long when the store is slow.
-_LEASE_PART = "lease"
 TTL_MS = 1_300
 RENEW_MS = 350
 # A former owner whose lease is no longer valid renews the leases of workers for
 # this long, so that running tasks survive a short outage of the store.
 GRACE_MS = 4_000
-# Short enough for a second renewal within the lease if a response is lost.
-_CALL_TIMEOUT_MS = 500
 _POLL_MS = 1_100
 _RETRY_MS = 100
-# Hosts with fewer processors than this wait before they acquire an available
-# lease, so that other hosts can acquire it first: scheduling a large fleet uses
-# much of one processor.
-_MIN_PROCESSORS = 1.0
-_FEW_PROCESSORS_DELAY_MS = 700
+# After a restart of all hosts the lease may become available at any moment, so
+# preferred hosts poll it more often for a while.
+_STARTUP_MS = 3_000
+_STARTUP_POLL_MS = 150
+# An owner whose lease is valid for less than this after a failed renewal offers
+# the ownership: two attempts have been rejected by then, or one had no answer.
+_OFFER_BEFORE_EXPIRY_MS = 750
 
 
 class Tenure:
@@ -71,29 +64,24 @@
 
     Attributes:
         holder: Name of this host; only one process at a time uses it.
-        processors: Number of processors that this host may use.
-        lease_key: See `make_lease_key`.
+        capacity: What this host may use.
+        lease_key: See `leaserows.make_lease_key`.
         on_acquired: Called with each new tenure.
         stopping: Set to release the lease and stop.
+        offers: Receives the offers of owners that do not reach the store.
+        offer: Offers the ownership to other hosts. Arguments: the epoch and
+            the last known version of the lease row.
     """
 
     store: ports.Store
     clock: clocks.Clock
     holder: str
-    processors: float
+    capacity: candidates.HostCapacity
     lease_key: ports.RowKey
     on_acquired: Callable[[Tenure], object]
     stopping: threading.Event
-
-
-class _LeaseRow(TypedDict):
-    holder: str
-    epoch: NotRequired[int]
-    released: bool
-
-
-class _EpochRow(TypedDict):
-    epoch: int
+    offers: handover.OfferInbox
+    offer: Callable[[int, int], None] = lambda epoch, lease_version: None
 
 
 class _ObservedLease(NamedTuple):
@@ -117,19 +105,6 @@
     )
 
 
-def make_lease_key(cross_part_transactions: bool) -> ports.RowKey:
-    """Return the key of the lease row.
-
-    Args:
-        cross_part_transactions: Whether the store allows transactions across
-            partitions. Acquiring the lease is one if the lease row has its
-            own partition, as it also writes the epoch row.
-    """
-    if cross_part_transactions:
-        return _LEASE_KEY._replace(part=_LEASE_PART)
-    return _LEASE_KEY
-
-
 def start_lease_thread(context: OwnershipContext) -> threading.Thread:
     """Start the thread that acquires and renews the lease; return it."""
     thread = threading.Thread(
@@ -144,66 +119,122 @@
 
 def _run(context: OwnershipContext) -> None:
     observed = _ObservedLease(-1, 0)
+    started_ms = context.clock.now_ms()
     while not context.stopping.is_set():
+        starting = context.clock.now_ms() - started_ms < _STARTUP_MS
         try:
-            observed = _poll_lease(context, observed)
+            observed = _poll_lease(context, observed, starting)
         except errors.StoreError as error:
             logs.log_event("lease_unread", "WARNING", detail=error)
             context.stopping.wait(_RETRY_MS / 1000)
 
 
 def _poll_lease(
-    context: OwnershipContext, observed: _ObservedLease
+    context: OwnershipContext, observed: _ObservedLease, starting: bool
 ) -> _ObservedLease:
-    """Read the lease; acquire it if it is available, else wait."""
-    lease = _read_row(context, context.lease_key)
+    """Read the lease; acquire it if it is available or offered, else wait.
+
+    Args:
+        context: What the lease thread needs.
+        observed: The version of the lease row that was read last.
+        starting: Whether this process has started a short time ago.
+    """
+    context.offers.wake.clear()
+    lease = leaserows.read_row(context.store, context.lease_key)
     now_ms = context.clock.now_ms()
     version = lease.version if lease else 0
-    value = _decode_lease(lease)
+    value = leaserows.decode_lease(lease)
     if version != observed.version:
         observed = _ObservedLease(version, now_ms)
+    if _is_inherited(context, value) and not _is_preferred(context):
+        _release_inherited(context, lease, value)
+        return _ObservedLease(-1, 0)
     available_ms = _get_available_ms(context, value, observed)
-    if now_ms >= available_ms:
-        tenure = _acquire(context, lease, _read_row(context, EPOCH_KEY))
+    if now_ms >= available_ms or _is_offered(context, lease, value):
+        tenure = _acquire(
+            context,
+            lease,
+            leaserows.read_row(context.store, leaserows.EPOCH_KEY),
+        )
         if tenure is not None:
             _renew_until_ended(context, tenure)
         return _ObservedLease(-1, 0)
-    context.stopping.wait(min(_POLL_MS, available_ms - now_ms) / 1000)
+    poll_ms = _POLL_MS
+    if starting and _is_preferred(context):
+        poll_ms = _STARTUP_POLL_MS
+    context.offers.wake.wait(min(poll_ms, available_ms - now_ms) / 1000)
     return observed
 
 
-def _read_row(context: OwnershipContext, key: ports.RowKey) -> ports.Row | None:
-    rows = context.store.read_row(key, _CALL_TIMEOUT_MS).rows
-    return rows[0] if rows else None
+def _is_preferred(context: OwnershipContext) -> bool:
+    return candidates.is_preferred(context.capacity)
+
+
+def _is_inherited(
+    context: OwnershipContext, value: leaserows.LeaseRow | None
+) -> bool:
+    """Return whether an ended process of this host holds the lease."""
+    return (
+        value is not None
+        and value["holder"] == context.holder
+        and not value["released"]
+    )
+
 
+def _release_inherited(
+    context: OwnershipContext, lease: ports.Row, value: leaserows.LeaseRow
+) -> None:
+    """Release the lease of an ended process of this host.
 
-def _decode_lease(row: ports.Row | None) -> _LeaseRow | None:
-    """Return the lease in a row, or None if there is none.
+    Other hosts, which are better suited, need not wait until it expires.
 
-    A row that cannot be decoded is taken for the lease of an unknown holder,
-    which has to expire.
+    Raises:
+        errors.StoreError: The row was not written, or the outcome is unknown.
     """
-    if row is None or not row.value:
-        return None
+    row = leaserows.encode_lease(
+        context.holder, value.get("epoch", 0), released=True
+    )
     try:
-        return jsontexts.decode(row.value, _LeaseRow)
-    except errors.InvalidTextError as error:
-        logs.log_event("lease_unreadable", "WARNING", detail=error)
-        return {"holder": "", "released": False}
+        context.store.commit(
+            ports.Transaction(
+                {context.lease_key: lease.version}, {context.lease_key: row}
+            ),
+            leaserows.CALL_TIMEOUT_MS,
+        )
+    except errors.WriteConflictError:
+        return  # Another host has acquired it.
+    logs.log_event("inherited_lease_released", epoch=value.get("epoch", 0))
+
+
+def _is_offered(
+    context: OwnershipContext,
+    lease: ports.Row | None,
+    value: leaserows.LeaseRow | None,
+) -> bool:
+    """Return whether the holder offers the lease and has not renewed it since.
+
+    The store may have carried out a renewal without answering the holder, which
+    then reaches it.
+    """
+    offer = context.offers.take(context.clock.now_ms())
+    return (
+        offer is not None
+        and lease is not None
+        and value is not None
+        and value.get("epoch") == offer.epoch
+        and lease.version == offer.lease_version
+    )
 
 
 def _get_available_ms(
     context: OwnershipContext,
-    value: _LeaseRow | None,
+    value: leaserows.LeaseRow | None,
     observed: _ObservedLease,
 ) -> int:
     """Return the monotonic time from which this host may acquire the lease."""
-    if value is not None and value["holder"] == context.holder:
-        # An earlier process of this host, which has ended, held the lease.
+    if _is_inherited(context, value):
         return observed.since_ms
-    delay_ms = 0
-    if context.processors < _MIN_PROCESSORS:
-        delay_ms = _FEW_PROCESSORS_DELAY_MS
+    delay_ms = candidates.get_acquire_delay_ms(context.capacity)
     if value is None or value["released"]:
         return observed.since_ms + delay_ms
     return (
@@ -214,21 +245,21 @@
 def _acquire(
     context: OwnershipContext, lease: ports.Row | None, epoch: ports.Row | None
 ) -> Tenure | None:
-    last_epoch = 0
-    if epoch is not None and epoch.value:
-        last_epoch = jsontexts.decode(epoch.value, _EpochRow)["epoch"]
+    last_epoch = leaserows.decode_epoch(epoch)
     sent_ms = context.clock.now_ms()
     checks = {
         context.lease_key: lease.version if lease else 0,
-        EPOCH_KEY: epoch.version if epoch else 0,
+        leaserows.EPOCH_KEY: epoch.version if epoch else 0,
     }
     puts = {
-        context.lease_key: _encode_lease(context, last_epoch + 1),
-        EPOCH_KEY: json.dumps({"epoch": last_epoch + 1}).encode(),
+        context.lease_key: leaserows.encode_lease(
+            context.holder, last_epoch + 1
+        ),
+        leaserows.EPOCH_KEY: leaserows.encode_epoch(last_epoch + 1),
     }
     try:
         version = context.store.commit(
-            ports.Transaction(checks, puts), _CALL_TIMEOUT_MS
+            ports.Transaction(checks, puts), leaserows.CALL_TIMEOUT_MS
         )
     except (errors.WriteConflictError, errors.StoreError) as error:
         logs.log_event("lease_not_taken", epoch=last_epoch + 1, detail=error)
@@ -250,24 +281,14 @@
     Raises:
         errors.StoreUnavailableError: The store did not respond.
     """
-    lease = _read_row(context, context.lease_key)
-    if lease is None or _decode_lease(lease) != _make_lease(context, epoch):
+    lease = leaserows.read_row(context.store, context.lease_key)
+    if lease is None or leaserows.decode_lease(lease) != leaserows.make_lease(
+        context.holder, epoch
+    ):
         return None
     return lease.version
 
 
-def _make_lease(
-    context: OwnershipContext, epoch: int, released: bool = False
-) -> _LeaseRow:
-    return {"holder": context.holder, "epoch": epoch, "released": released}
-
-
-def _encode_lease(
-    context: OwnershipContext, epoch: int, released: bool = False
-) -> bytes:
-    return json.dumps(_make_lease(context, epoch, released)).encode()
-
-
 def _renew_until_ended(context: OwnershipContext, tenure: Tenure) -> None:
     """Renew the lease until the tenure ends or the host stops."""
     unproved_since_ms: int | None = None
@@ -283,6 +304,8 @@
             unproved_since_ms = _log_proof(
                 tenure, context.clock, unproved_since_ms
             )
+            if not renewed and _is_expiring(tenure, context.clock):
+                context.offer(tenure.epoch, tenure.lease_version)
             tenure.ended.wait(max(0, pause_ms) / 1000)
         lost = tenure.ended.is_set()
         if not lost:
@@ -292,6 +315,10 @@
     logs.log_event("tenure_ended", epoch=tenure.epoch, lost=lost)
 
 
+def _is_expiring(tenure: Tenure, clock: clocks.Clock) -> bool:
+    return clock.now_ms() > tenure.valid_until_ms - _OFFER_BEFORE_EXPIRY_MS
+
+
 def _log_proof(
     tenure: Tenure, clock: clocks.Clock, unproved_since_ms: int | None
 ) -> int | None:
@@ -346,7 +373,7 @@
         errors.StoreError: The row was not written, or the outcome is unknown.
     """
     sent_ms = context.clock.now_ms()
-    row = _encode_lease(context, tenure.epoch, released)
+    row = leaserows.encode_lease(context.holder, tenure.epoch, released)
     # Acquiring the lease also writes this row, so checking its version is
     # sufficient.
     transaction = ports.Transaction(
@@ -355,7 +382,7 @@
     )
     try:
         tenure.lease_version = context.store.commit(
-            transaction, _CALL_TIMEOUT_MS
+            transaction, leaserows.CALL_TIMEOUT_MS
         )
     except errors.WriteConflictError:
         _resolve_conflict(context, tenure)
@@ -365,8 +392,8 @@
 
 def _resolve_conflict(context: OwnershipContext, tenure: Tenure) -> None:
     """Check whether this tenure or another owner wrote the conflicting row."""
-    lease = _read_row(context, context.lease_key)
-    value = _decode_lease(lease)
+    lease = leaserows.read_row(context.store, context.lease_key)
+    value = leaserows.decode_lease(lease)
     if lease is None or value is None or value.get("epoch") != tenure.epoch:
         tenure.ended.set()
         return
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/relay.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/relay.py
@@ -20,6 +20,7 @@
 from cyclamenshelf_daemon import webserver
 from cyclamenshelf_daemon.tasks import cachedlists
 from cyclamenshelf_daemon.tasks import members as memberships
+from cyclamenshelf_daemon.tasks.failover import handover
 
 # Lists older than this were not confirmed at the end of the last wait for
 # changes.
@@ -86,7 +87,12 @@
             return handle_locally(int(timeout_ms * share))
         except _RELAYED_ERRORS as error:
             failure = error
-    response, failure = _relay_to_peers(relay, request, deadline_ms, failure)
+    response = None
+    # A peer would take a caller's request to this path for an owner's offer.
+    if request.path != handover.PATH:
+        response, failure = _relay_to_peers(
+            relay, request, deadline_ms, failure
+        )
     if response is not None:
         return response
     if failure is not None:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/writer.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/writer.py
@@ -15,6 +15,7 @@
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import ownership
 from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks.failover import leaserows
 
 # Limits of one transaction. The store allows 100 entries; each row takes two,
 # its expected version and its value, and the check of the epoch row takes one.
@@ -209,13 +210,13 @@
     """
     puts = {key: row[1] for key, row in rows.items() if row[1]}
     deletes = tuple(key for key, row in rows.items() if not row[1])
-    epoch = {ownership.EPOCH_KEY: context.tenure.epoch_version}
+    epoch = {leaserows.EPOCH_KEY: context.tenure.epoch_version}
     transaction = ports.Transaction(epoch | versions, puts, deletes)
     sent_ms = context.clock.now_ms()
     try:
         version = context.store.commit(transaction, timeout.timeout_ms)
     except errors.WriteConflictError as conflict:
-        if ownership.EPOCH_KEY in conflict.versions:
+        if leaserows.EPOCH_KEY in conflict.versions:
             logs.log_event(
                 "epoch_superseded", "WARNING", epoch=context.tenure.epoch
             )
--- a/testing/daemon/tasks/conftest.py
+++ b/testing/daemon/tasks/conftest.py
@@ -12,6 +12,7 @@
 from cyclamenshelf_core import clock as clocks
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
+from cyclamenshelf_core.failover import candidates
 from cyclamenshelf_daemon import metrics
 from cyclamenshelf_daemon.tasks import jobstates
 from cyclamenshelf_daemon.tasks import owner as owners
@@ -20,9 +21,12 @@
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import submission
+from cyclamenshelf_daemon.tasks.failover import handover
+from cyclamenshelf_daemon.tasks.failover import leaserows
 
 TIMEOUT_S = 20
 WORKERS_TABLE = "workers"
+PREFERRED_CAPACITY = candidates.HostCapacity(1.0, 100.0)
 LISTS = queues.Lists(
     1,
     1,
@@ -84,7 +88,7 @@
         """Start an owner under the next epoch, without ending the last one."""
         epoch = len(self.tenures) + 1
         self.fake_store.put("cell", "epoch", b"{}")
-        row = self.fake_store.rows[ownership.EPOCH_KEY]
+        row = self.fake_store.rows[leaserows.EPOCH_KEY]
         tenure = ownership.Tenure(
             epoch, row.version, self.clock.now_ms() + 3_600_000
         )
@@ -98,10 +102,11 @@
                 self.fake_store.store,
                 self.clock,
                 "host",
-                1.0,
-                ownership.make_lease_key(cross_part_transactions=True),
+                PREFERRED_CAPACITY,
+                leaserows.make_lease_key(cross_part_transactions=True),
                 lambda tenure: self._start_owner(tenure, lease_ms),
                 self.stopping,
+                handover.OfferInbox(),
             )
         )
 
--- a/testing/daemon/tasks/histories.py
+++ b/testing/daemon/tasks/histories.py
@@ -5,6 +5,7 @@
 
 import pytest
 from testing.core import taskbuilders as builders
+from testing.daemon.tasks import conftest
 from testing.daemon.tasks import simulatedfleet
 from testing.daemon.tasks import virtualtime
 
@@ -23,6 +24,8 @@
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import submission
 from cyclamenshelf_daemon.tasks import writer
+from cyclamenshelf_daemon.tasks.failover import handover
+from cyclamenshelf_daemon.tasks.failover import leaserows
 
 WORKERS_TABLE = "workers"
 LEASE_MS = 6_000
@@ -235,7 +238,15 @@
         randoms = types.SimpleNamespace(
             Random=lambda: random.Random(self.generator.random())
         )
-        for module in (fleet, following, links, owners, ownership, writer):
+        for module in (
+            fleet,
+            following,
+            handover,
+            links,
+            owners,
+            ownership,
+            writer,
+        ):
             self._patches.setattr(module, "threading", threads)
         for module in (owners, ownerstate, writer):
             self._patches.setattr(module, "queue", queued)
@@ -384,10 +395,11 @@
                     store,
                     self.clock,
                     host.name,
-                    1.0,
-                    ownership.make_lease_key(cross_part_transactions=True),
+                    conftest.PREFERRED_CAPACITY,
+                    leaserows.make_lease_key(cross_part_transactions=True),
                     acquire,
                     host.stopping,
+                    handover.OfferInbox(),
                 ),
             ),
         )
--- a/testing/daemon/tasks/test_capacity.py
+++ b/testing/daemon/tasks/test_capacity.py
@@ -10,7 +10,7 @@
 
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
-from cyclamenshelf_daemon.tasks import ownership
+from cyclamenshelf_daemon.tasks.failover import leaserows
 
 SHRUNK = taskjobs.Resources(32_000, 64_000, 2)
 # Longer than an owner needs to decide again after any change.
@@ -43,7 +43,7 @@
     released = threading.Event()
 
     def hold(transaction):
-        if ownership.EPOCH_KEY in transaction.checks:
+        if leaserows.EPOCH_KEY in transaction.checks:
             released.wait(conftest.TIMEOUT_S)
 
     cell.fake_store.before_commit = hold
--- a/testing/daemon/tasks/test_leaving.py
+++ b/testing/daemon/tasks/test_leaving.py
@@ -10,8 +10,8 @@
 
 from cyclamenshelf_core import errors
 from cyclamenshelf_core import taskprogress
-from cyclamenshelf_daemon.tasks import ownership
 from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks.failover import leaserows
 
 
 def drain(cell, worker):
@@ -30,7 +30,7 @@
     leasedworkers.wait_for_workers(cell)
 
     def reject_writes_of_the_owner(transaction):
-        if ownership.EPOCH_KEY in transaction.checks:
+        if leaserows.EPOCH_KEY in transaction.checks:
             raise errors.StoreUnavailableError("table", "down")
 
     cell.fake_store.before_commit = reject_writes_of_the_owner
--- a/testing/daemon/tasks/test_oddrows.py
+++ b/testing/daemon/tasks/test_oddrows.py
@@ -13,6 +13,7 @@
 from cyclamenshelf_daemon.tasks import members as memberships
 from cyclamenshelf_daemon.tasks import ownership
 from cyclamenshelf_daemon.tasks import submission
+from cyclamenshelf_daemon.tasks.failover import leaserows
 
 ODD_ROWS = [b"", b"7", b"{}", b"\xff", b"[" * 30_000 + b"]" * 30_000]
 
@@ -62,7 +63,7 @@
 
 @pytest.mark.parametrize("value", ODD_ROWS)
 def test_lease_that_cannot_be_read_is_acquired(cell, value):
-    key = ownership.make_lease_key(cross_part_transactions=True)
+    key = leaserows.make_lease_key(cross_part_transactions=True)
     cell.fake_store.commit(ownership.ports.Transaction({}, {key: value}), 0)
     cell.start_host()
     conftest.wait_until(lambda: cell.owners, "the host is the owner")
--- a/testing/daemon/tasks/test_ownership.py
+++ b/testing/daemon/tasks/test_ownership.py
@@ -8,10 +8,15 @@
 from testing.daemon.tasks import fakestore
 
 from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_core.failover import candidates
 from cyclamenshelf_daemon.tasks import ownership
 from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks.failover import handover
+from cyclamenshelf_daemon.tasks.failover import leaserows
 
-LEASE_KEY = ownership.make_lease_key(cross_part_transactions=True)
+LEASE_KEY = leaserows.make_lease_key(cross_part_transactions=True)
+# No lease expires on a clock that stands still.
+STOPPED_CLOCK = clocks.Clock(lambda: 0, lambda: 0, lambda ms: None)
 
 
 class Hosts:
@@ -21,10 +26,19 @@
         self.fake_store = fakestore.FakeStore()
         self.tenures = []
         self.stopping = []
+        self.offers = {}
         self.threads = []
 
-    def start(self, name, clock=None, processors=1.0):
+    def start(
+        self,
+        name,
+        clock=None,
+        processors=1.0,
+        link_mbps=100.0,
+        offer=lambda epoch, lease_version: None,
+    ):
         stopping = threading.Event()
+        self.offers[name] = handover.OfferInbox()
         self.stopping.append(stopping)
         self.threads.append(
             ownership.start_lease_thread(
@@ -32,10 +46,12 @@
                     self.fake_store.store,
                     clock or clocks.make_system_clock(),
                     name,
-                    processors,
+                    candidates.HostCapacity(processors, link_mbps),
                     LEASE_KEY,
                     self.tenures.append,
                     stopping,
+                    self.offers[name],
+                    offer,
                 )
             )
         )
@@ -82,14 +98,19 @@
     assert tenure.ended.wait(conftest.TIMEOUT_S)
 
 
-def test_host_with_few_processors_leaves_an_available_lease_to_others(hosts):
-    hosts.start("weak", processors=0.5)
+@pytest.mark.parametrize(
+    "capacity", [{"processors": 0.5}, {"link_mbps": 5.0}], ids=str
+)
+def test_host_of_low_capacity_leaves_an_available_lease_to_others(
+    hosts, capacity
+):
+    hosts.start("weak", **capacity)
     hosts.start("strong")
     hosts.wait_for_tenures(1)
     assert hosts.read_lease()["holder"] == "strong"
 
 
-def test_host_with_few_processors_acquires_a_lease_without_competitors(hosts):
+def test_host_of_low_capacity_acquires_a_lease_without_competitors(hosts):
     hosts.start("weak", processors=0.5)
     assert hosts.wait_for_tenures(1).epoch == 1
 
@@ -106,12 +127,69 @@
     # after a restart of all hosts there was no owner for 2.7 s.
     hosts.put_lease(b'{"holder": "a", "released": false}')
     hosts.fake_store.put("cell", "epoch", b'{"epoch": 4}')
-    # No lease expires on a clock that stands still.
-    stopped_clock = clocks.Clock(lambda: 0, lambda: 0, lambda ms: None)
-    hosts.start("a", stopped_clock)
+    hosts.start("a", STOPPED_CLOCK)
     assert hosts.wait_for_tenures(1).epoch == 5
 
 
+def test_restarted_owner_of_low_capacity_does_not_keep_others_waiting(hosts):
+    # After a restart of all hosts one with a slow link took 1.6 s to read the
+    # jobs.
+    hosts.put_lease(b'{"holder": "weak", "epoch": 4, "released": false}')
+    hosts.fake_store.put("cell", "epoch", b'{"epoch": 4}')
+    hosts.start("strong", STOPPED_CLOCK)
+    hosts.start("weak", link_mbps=5.0)
+    assert hosts.wait_for_tenures(1).epoch == 5
+    assert hosts.read_lease()["holder"] == "strong"
+
+
+def test_offered_lease_is_acquired_before_it_expires(hosts):
+    hosts.put_lease(b'{"holder": "a", "epoch": 4, "released": false}')
+    hosts.fake_store.put("cell", "epoch", b'{"epoch": 4}')
+    hosts.start("b", STOPPED_CLOCK)
+    version = hosts.fake_store.rows[LEASE_KEY].version
+    hosts.offers["b"].put(handover.Offer(4, version, 0))
+    assert hosts.wait_for_tenures(1).epoch == 5
+
+
+@pytest.mark.parametrize(
+    ("epoch", "renewals", "received_ms"),
+    [(3, 0, 0), (4, 1, 0), (4, 0, -2_000)],
+    ids=["earlier_owner", "renewed_since", "too_old"],
+)
+def test_offer_that_no_longer_holds_is_ignored(
+    hosts, epoch, renewals, received_ms
+):
+    lease = b'{"holder": "a", "epoch": 4, "released": false}'
+    hosts.put_lease(lease)
+    version = hosts.fake_store.rows[LEASE_KEY].version
+    for _ in range(renewals):
+        hosts.put_lease(lease)
+    hosts.start("b", STOPPED_CLOCK)
+    offers = hosts.offers["b"]
+    offers.put(handover.Offer(epoch, version, received_ms))
+    conftest.wait_until(lambda: not offers.wake.is_set(), "the offer is read")
+    assert not hosts.read_lease()["released"]
+    assert not hosts.tenures
+
+
+def test_owner_that_the_store_rejects_offers_a_lease_that_is_still_valid(hosts):
+    # No task was started for 2.2 s while the store rejected the owner only.
+    offered = []
+    clock = clocks.make_system_clock()
+
+    def offer(epoch, lease_version):
+        offered.append((epoch, lease_version))
+        valid.append(ownership.is_lease_valid(hosts.tenures[0], clock))
+
+    valid = []
+    hosts.start("a", offer=offer)
+    tenure = hosts.wait_for_tenures(1)
+    hosts.fake_store.down = True
+    conftest.wait_until(lambda: valid, "an offer")
+    assert offered[0] == (1, tenure.lease_version)
+    assert valid[0]
+
+
 def test_lease_acquired_without_a_response_is_held(hosts):
     # On a slow store each attempt was carried out and answered too late: there
     # was no owner for 4 s after a restart of all hosts.
@@ -119,7 +197,7 @@
     hosts.start("a")
     tenure = hosts.wait_for_tenures(1)
     assert tenure.epoch == 1
-    row = hosts.fake_store.rows[ownership.EPOCH_KEY]
+    row = hosts.fake_store.rows[leaserows.EPOCH_KEY]
     assert tenure.epoch_version == row.version
 
 
@@ -165,6 +243,6 @@
     conftest.wait_until(lambda: len(hosts.fake_store.commits) > 1, "a renewal")
     renewal = hosts.fake_store.commits[1]
     assert {*renewal.checks, *renewal.puts} == {LEASE_KEY}
-    assert LEASE_KEY.part != ownership.EPOCH_KEY.part
-    single_part_key = ownership.make_lease_key(cross_part_transactions=False)
-    assert single_part_key.part == ownership.EPOCH_KEY.part
+    assert LEASE_KEY.part != leaserows.EPOCH_KEY.part
+    single_part_key = leaserows.make_lease_key(cross_part_transactions=False)
+    assert single_part_key.part == leaserows.EPOCH_KEY.part
--- a/testing/daemon/tasks/test_relay.py
+++ b/testing/daemon/tasks/test_relay.py
@@ -12,6 +12,7 @@
 from cyclamenshelf_daemon.tasks import members
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import relay
+from cyclamenshelf_daemon.tasks.failover import handover
 
 TIMEOUT_MS = 3_000
 LOCAL_RESPONSE = webserver.Response(200, b"here")
@@ -136,6 +137,20 @@
     )
 
 
+def test_call_to_the_path_of_ownership_offers_is_not_relayed(
+    relay_context, add_peer, manual_clock
+):
+    # A caller could otherwise forge the offer of an owner.
+    peer = add_peer("p")
+    manual_clock.advance(2_000)
+    request = make_request()._replace(path=handover.PATH)
+    response = relay.handle_call(
+        relay_context, request, TIMEOUT_MS, lambda timeout_ms: LOCAL_RESPONSE
+    )
+    assert response is LOCAL_RESPONSE
+    assert not peer.requests
+
+
 def test_host_without_the_store_or_peers_handles_the_call_locally(
     relay_context, manual_clock
 ):
--- a/testing/daemon/tasks/test_store_outages.py
+++ b/testing/daemon/tasks/test_store_outages.py
@@ -12,6 +12,7 @@
 from cyclamenshelf_daemon.tasks import jobstates
 from cyclamenshelf_daemon.tasks import links
 from cyclamenshelf_daemon.tasks import ownership
+from cyclamenshelf_daemon.tasks.failover import leaserows
 
 # Urgent work starts within this time.
 START_BOUND_S = 4.9
@@ -38,7 +39,7 @@
     cell.unlist_worker(other)
 
     def reject_writes_of_the_owner(transaction):
-        if ownership.EPOCH_KEY in transaction.checks:
+        if leaserows.EPOCH_KEY in transaction.checks:
             raise errors.StoreUnavailableError("table", "down")
 
     cell.fake_store.before_commit = reject_writes_of_the_owner
