Tell where a job would go without submitting it

Cause: `jobs explain` answers for stored jobs only, so an operator has to submit a job to learn where it would go or why it would wait.

The owner's thread copies the inputs of its next decision, and the decision is made outside it with the job and without it, so that jobs stopped anyway are not attributed to it. The checks of acceptance come first.

Where a short request would go is not told yet.

--- a/packages/cli/src/cyclamenshelf_cli/jobs.py
+++ b/packages/cli/src/cyclamenshelf_cli/jobs.py
@@ -1,5 +1,6 @@
-"""The `jobs` commands: list, show, explain and cancel jobs."""
+"""The `jobs` commands: list, show, explain, preview and cancel jobs."""
 
+import json
 from typing import Any
 import urllib.parse
 
@@ -9,22 +10,26 @@
 from cyclamenshelf_cli import output as outputs
 
 DOC = f"""\
-List, show, explain and cancel jobs of any client account.
+List, show, explain, preview and cancel jobs of any client account.
 
 Usage:
   cyclamenshelf jobs list [--account=NAME] [--state=STATE] [--limit=N]
                           [--operator=URL]... [options]
   cyclamenshelf jobs show <job> [--operator=URL]... [options]
   cyclamenshelf jobs explain <job> [--operator=URL]... [options]
+  cyclamenshelf jobs preview <file> --account=NAME [--operator=URL]... [options]
   cyclamenshelf jobs cancel <job> [--author=NAME] [--operator=URL]... [options]
   cyclamenshelf jobs --help
 
 list shows active jobs; show also finds ended ones. explain tells why a job
-waits; only the cell owner knows, so the command goes on to that host. cancel
-asks the cell owner; repeating it does no harm.
+waits; only the cell owner knows, so the command goes on to that host. preview
+tells where a job would go now, and why, without submitting it; the file holds
+the JSON body that a caller would send. cancel asks the cell owner; repeating it
+does no harm.
 
 Options:
-  --account=NAME          Only jobs of this account.
+  --account=NAME          Only jobs of this account; the account of the job to
+                          preview.
   --state=STATE           Only jobs in this state, such as queued.
   --limit=N               At most so many jobs, up to 1000.
 {options.AUTHOR_OPTION}{options.COMMON_OPTIONS}
@@ -33,6 +38,7 @@
   cyclamenshelf jobs list --account=shop --state=queued
   cyclamenshelf jobs show j-0123456789abcdef0123456789abcdef
   cyclamenshelf jobs explain j-0123456789abcdef0123456789abcdef
+  cyclamenshelf jobs preview job.json --account=shop
   cyclamenshelf jobs cancel j-0123456789abcdef0123456789abcdef --author=ann
 """
 
@@ -120,6 +126,57 @@
     return exitcodes.SUCCESS
 
 
+def _preview_job(session: options.Session, arguments: dict[str, Any]) -> int:
+    body = {
+        "account": arguments["--account"],
+        "job": _read_job(arguments["<file>"]),
+    }
+    value = link.send_command(
+        session.client, "POST", "/v1/jobs:preview", body
+    ).value
+    if session.output.use_json:
+        outputs.print_json(session.output, value)
+        return exitcodes.SUCCESS
+    for line in _describe_preview(value):
+        outputs.print_line(session.output, line)
+    return exitcodes.SUCCESS
+
+
+def _read_job(path: str) -> Any:
+    try:
+        with open(path, encoding="utf-8") as file:
+            return json.load(file)
+    except (OSError, UnicodeError, ValueError, RecursionError) as error:
+        reason = getattr(error, "strerror", None) or "not a JSON text"
+        raise exitcodes.CommandFailedError(
+            exitcodes.USAGE_ERROR, f"{path}: {reason}"
+        ) from None
+
+
+def _describe_preview(value: dict[str, Any]) -> list[str]:
+    workers = sorted({part["worker_id"] for part in value["placement"]})
+    match value["outcome"]:
+        case "start":
+            first = f"it would start now on {', '.join(workers)}"
+        case "preempt":
+            first = (
+                "it would start once jobs that are stopped for it have ended"
+            )
+        case "refuse":
+            first = "it would be refused"
+        case _:
+            first = "it would wait"
+    lines = [first]
+    if value["reason"]:
+        lines.append(f"- {value['reason']}")
+    lines += [f"- {job} would be stopped" for job in value["preempted"]]
+    if value["queued"]:
+        lines.append(
+            f"- jobs of {value['account']} that wait already: {value['queued']}"
+        )
+    return lines
+
+
 def _cancel_job(session: options.Session, arguments: dict[str, Any]) -> int:
     author = options.get_author(arguments, session.environment)
     path = _make_job_path(arguments) + "/cancel"
@@ -148,5 +205,6 @@
     "list": _list_jobs,
     "show": _show_job,
     "explain": _explain_job,
+    "preview": _preview_job,
     "cancel": _cancel_job,
 }
--- a/packages/cli/src/cyclamenshelf_cli/main.py
+++ b/packages/cli/src/cyclamenshelf_cli/main.py
@@ -33,7 +33,7 @@
   workers     the listed workers
   accounts    the client accounts
   guarantees  held, lent out, reclaimable or at risk
-  jobs        list, show, explain and cancel jobs
+  jobs        list, show, explain, preview and cancel jobs
   quarantine  take a worker out of service
   drain       make one entry host exit
   report      service-level burn of each plan
--- a/packages/core/src/cyclamenshelf_core/policy.py
+++ b/packages/core/src/cyclamenshelf_core/policy.py
@@ -79,18 +79,7 @@
     _update_observations(state, snapshot)
     if state.ledger is None or state.ledger.workers != snapshot.workers:
         state.ledger = ledgers.Ledger(snapshot.workers)
-    outcome = plan(
-        snapshot._replace(
-            usage=state.usage,
-            run_time_ratios={
-                account: runtimes.compute_ratio(samples)
-                for account, samples in state.ratio_samples.items()
-            },
-            assignment=state.assignment,
-            claims=state.claims,
-        ),
-        state.ledger,
-    )
+    outcome = plan(add_state(state, snapshot), state.ledger)
     state.assignment = outcome.assignment
     state.claims = outcome.claims
     state.held = dict(state.ledger.allocated_by_account)
@@ -104,6 +93,19 @@
     return outcome.decisions
 
 
+def add_state(state: PolicyState, snapshot: Snapshot) -> Snapshot:
+    """Return the snapshot with what the state knows of earlier decisions."""
+    return snapshot._replace(
+        usage=state.usage,
+        run_time_ratios={
+            account: runtimes.compute_ratio(samples)
+            for account, samples in state.ratio_samples.items()
+        },
+        assignment=state.assignment,
+        claims=state.claims,
+    )
+
+
 def plan(snapshot: Snapshot, ledger: ledgers.Ledger | None = None) -> Outcome:
     """Return the decisions and the state that the next decision needs.
 
--- a/packages/daemon/src/cyclamenshelf_daemon/cellowner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/cellowner.py
@@ -24,6 +24,7 @@
 from cyclamenshelf_daemon import supervision
 from cyclamenshelf_daemon import workerclient
 from cyclamenshelf_daemon import workerlink
+from cyclamenshelf_daemon.decisions import snapshots
 
 _TICK_MS = 250
 _MIN_DECISION_INTERVAL_MS = 50
@@ -37,10 +38,6 @@
 CellOwner = ownerstate.CellOwner
 Phase = attempts.Phase
 
-_holds_lease = ownerstate.holds_lease
-_begin_stop = attempts.begin_stop
-_start_attempt = following.start_attempt
-
 
 def start_owner(context: OwnerContext, tenure: celllease.Tenure) -> CellOwner:
     """Start the threads of a cell owner; return the owner."""
@@ -363,7 +360,7 @@
     review_due = bool(owner.blocked) and elapsed_ms >= policy.REVIEW_INTERVAL_MS
     if not (owner.changed or review_due):
         return
-    if not owner.loaded or not _holds_lease(owner):
+    if not owner.loaded or not ownerstate.holds_lease(owner):
         return
     if elapsed_ms < _MIN_DECISION_INTERVAL_MS:
         return
@@ -371,62 +368,20 @@
     owner.last_decision_ms = now
     _cancel_queued(owner)
     owner.blocked = {}
-    snapshot = _make_snapshot(owner)
+    snapshot = snapshots.make_snapshot(owner)
     for decision in policy.advance(owner.policy_state, snapshot):
         if isinstance(decision, policy.Start):
-            _start_attempt(
+            following.start_attempt(
                 owner, owner.jobs[decision.job_id], decision.placement
             )
         elif isinstance(decision, policy.Preempt):
             attempt = owner.attempts[decision.job_id]
             if attempt.phase is Phase.RUNNING:
-                _begin_stop(attempt, decision.reason)
+                attempts.begin_stop(attempt, decision.reason)
         else:
             owner.blocked[decision.job_id] = decision.reason
 
 
-def _make_snapshot(owner: CellOwner) -> policy.Snapshot:
-    wall_ms = owner.context.clock.wall_ms()
-    unix_offset_ms = wall_ms - owner.context.clock.now_ms()
-    return policy.Snapshot(
-        now_ms=wall_ms,
-        lists=owner.context.get_lists(),
-        workers={
-            worker_id: worker
-            for worker_id, worker in owner.workers.items()
-            if worker_id in owner.responding_workers
-            and worker_id not in owner.quarantined
-            and not workerhealth.is_quarantined(
-                owner.health, worker_id, owner.context.clock.now_ms()
-            )
-        },
-        queued=sorted(
-            (
-                job
-                for job in owner.jobs.values()
-                if job.id not in owner.attempts
-                and job.state is model.JobState.QUEUED
-            ),
-            key=lambda job: (job.accepted_ms, job.id),
-        ),
-        running={
-            attempt.job.id: policy.RunningJob(
-                attempt.job,
-                attempt.job.placement,
-                # An adopted attempt was started by an earlier owner.
-                min(
-                    attempt.job.started_ms or wall_ms,
-                    attempt.tracked_since_ms + unix_offset_ms,
-                )
-                if attempt.phase is not Phase.STARTING
-                else attempt.tracked_since_ms + unix_offset_ms,
-                attempt.phase is Phase.STOPPING,
-            )
-            for attempt in owner.attempts.values()
-        },
-    )
-
-
 def _cancel_queued(owner: CellOwner) -> None:
     for job_id in list(owner.cancels):
         job = owner.jobs.get(job_id)
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""What the cell owner decides from, and previews of its decisions."""
--- a/packages/daemon/src/cyclamenshelf_daemon/operatorapi.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/operatorapi.py
@@ -14,6 +14,7 @@
 from cyclamenshelf_daemon import operatorviews
 from cyclamenshelf_daemon import refusals
 from cyclamenshelf_daemon import webserver
+from cyclamenshelf_daemon.decisions import operatorpreviews
 
 OperatorContext = operatorcontext.OperatorContext
 _BUSY_RETRY_AFTER_MS = 2_000
@@ -40,6 +41,7 @@
             *operatorviews.ROUTES,
             *operatorjobs.ROUTES,
             *operatorcommands.ROUTES,
+            *operatorpreviews.ROUTES,
         )
     ]
     return webserver.make_router(
--- a/packages/daemon/src/cyclamenshelf_daemon/operatorjobs.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/operatorjobs.py
@@ -68,9 +68,9 @@
     job = find_job(context, request.args[0])
     reasons = _list_row_reasons(context, job)
     if job.state is model.JobState.QUEUED:
-        owner = _get_leaseholding_owner(context)
+        owner = get_leaseholding_owner(context)
         if owner is None:
-            raise _make_not_owner_error(context)
+            raise make_not_owner_error(context)
         blocked = owner.blocked.get(job.id)
         if blocked is not None:
             reasons.append(str(blocked))
@@ -214,9 +214,10 @@
     return reasons
 
 
-def _get_leaseholding_owner(
+def get_leaseholding_owner(
     context: operatorcontext.OperatorContext,
 ) -> cellowner.CellOwner | None:
+    """Return the cell owner if it runs in this process and may decide."""
     owner = context.get_owner()
     if owner is None or not owner.loaded:
         return None
@@ -225,7 +226,7 @@
     return owner
 
 
-def _make_not_owner_error(
+def make_not_owner_error(
     context: operatorcontext.OperatorContext,
 ) -> errors.NotOwnerError:
     """Return an error with the host and URL of the owner, if known."""
--- a/testing/cli/sessions.py
+++ b/testing/cli/sessions.py
@@ -166,6 +166,9 @@
         assert old in text
         file.write_text(text.replace(old, new))
 
+    def step_write(self, path, text):
+        (self.directory / path).write_text(text)
+
     def step_table(self, name, value):
         self.platform.table_faults.update({name: json.loads(value)})
 
