Keep a removed row out of a copy that a delayed response shows it to

Cause: while one thread waits for changes of a table, another may read the whole table (callers do, before a refusal). A response that was on its way then still has rows that were removed since; the copy took them in again, and their removal was not reported a second time, as the version it follows from is later. The only rows that callers' hosts use of that table are never removed today.

Change: changes up to the version that the copy reflects are left out.

Test: a delayed response with a row that a read in between no longer has; it failed before.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/following.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/following.py
@@ -135,11 +135,7 @@
         # The store responds without changes only at the end of the wait.
         as_of_ms = requested_ms + wait_ms
     with copy.lock:
-        newer = [
-            row
-            for row in result.rows
-            if row.version > getattr(copy.rows.get(row.key.key), "version", -1)
-        ]
+        newer = [row for row in result.rows if _is_newer(copy, row)]
         for row in newer:
             if row.value is None:
                 copy.rows.pop(row.key.key, None)
@@ -150,6 +146,17 @@
         copy.changed(newer)
 
 
+def _is_newer(copy: TableCopy, row: ports.Row) -> bool:
+    """Return whether a change is not in the copy yet.
+
+    Another thread may have read the table meanwhile. A row that was removed
+    before that is not in the copy, and an earlier change must not restore it.
+    """
+    known = copy.rows.get(row.key.key)
+    known_version = known.version if known is not None else -1
+    return row.version > max(known_version, copy.version or 0)
+
+
 def _record_version(copy: TableCopy, version: int, as_of_ms: int) -> None:
     copy.version = max(version, copy.version or 0)
     copy.confirmed_ms = max(as_of_ms, copy.confirmed_ms or 0)
--- a/testing/daemon/tasks/test_following.py
+++ b/testing/daemon/tasks/test_following.py
@@ -39,3 +39,23 @@
 
     following._follow_once(copy, store._replace(follow=follow), clock, WAIT_MS)
     assert copy.confirmed_ms == requested_ms + confirmed_ms
+
+
+def test_delayed_response_does_not_restore_a_removed_row(manual_clock):
+    # Another thread read the table, without the row, before the response that
+    # still had it arrived; its removal was not reported again.
+    fake_store = fakestore.FakeStore()
+    store, clock = fake_store.store, manual_clock.clock
+    copy = following.TableCopy("t")
+    following.refresh(copy, store, clock)
+    fake_store.put("t", "k", b"v")
+
+    def follow(table, version, wait_ms):
+        result = fake_store.follow(table, version, 0)
+        key = ports.RowKey("t", "k")
+        fake_store.commit(ports.Transaction({}, {}, (key,)), 0)
+        following.refresh(copy, store, clock)
+        return result
+
+    following._follow_once(copy, store._replace(follow=follow), clock, WAIT_MS)
+    assert not copy.rows
