Take workers that are slow after their start for slow workers

Cause: a worker says in its entry how much longer it is slow after its start, and nothing read that. Urgent tasks went there as to any other, and its first run times counted as those of the worker.

Until that time is over the worker counts as slow in placement, and run times of tasks that began before are not compared. A malformed time is taken for none: it is only a hint, and the worker is usable.

Tests: run times and placement before and after the time is over; both fail without the change.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
@@ -80,6 +80,7 @@
             the last one that could says.
         described: Whether `info` is from an entry of this incarnation; before
             that, its capacity and labels are those of the earlier one.
+        cold_until_ms: Monotonic time until which it is slow after its start.
         orphans: Resources of runs on it that the owner does not need.
         failed_jobs: Jobs whose tasks failed on it since its last success.
         quarantined_until_ms: Monotonic time at which its quarantine ends.
@@ -112,6 +113,7 @@
         self.unlisted_ms: int | None = None
         self.readable = True
         self.described = True
+        self.cold_until_ms = 0
         self.orphans: dict[RunKey, taskjobs.Resources] = {}
         self.failed_jobs: list[str] = []
         self.quarantined_until_ms = 0
@@ -139,9 +141,20 @@
     )
     successor.unlisted_ms = worker.unlisted_ms
     successor.readable = worker.readable
+    record_cold_time(successor, now_ms)
     return successor
 
 
+def record_cold_time(worker: Worker, now_ms: int) -> None:
+    """Record until when a worker is slow, by an entry that has just arrived."""
+    worker.cold_until_ms = now_ms + worker.info.cold_ms
+
+
+def is_cold(worker: Worker, now_ms: int) -> bool:
+    """Return whether a worker is still slow after its start."""
+    return now_ms < worker.cold_until_ms
+
+
 def close_worker(worker: Worker) -> None:
     """End the thread of a record; no lease is granted by it any more."""
     with worker.lock:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
@@ -140,18 +140,19 @@
 
 
 def _add_worker(owner: ownerstate.Owner, info: ports.WorkerInfo) -> None:
-    _use_record(
-        owner,
-        fleet.Worker(
-            info, owner.context.max_lease_ms, owner.unconfirmed_until_ms
-        ),
+    worker = fleet.Worker(
+        info, owner.context.max_lease_ms, owner.unconfirmed_until_ms
     )
+    fleet.record_cold_time(worker, owner.context.clock.now_ms())
+    _use_record(owner, worker)
     logs.log_event(
         "worker_listed",
         worker=info.id,
         rack=info.rack,
         service=info.service,
         born_ms=info.started_ms,
+        data_centre=info.data_centre,
+        cold_ms=info.cold_ms,
     )
 
 
@@ -175,7 +176,11 @@
     starts_draining = (
         info.draining_ms is not None and worker.info.draining_ms is None
     )
+    # An entry is applied again at each synchronisation with the list.
+    arrived = info is not worker.info
     worker.info = info
+    if arrived:
+        fleet.record_cold_time(worker, owner.context.clock.now_ms())
     if starts_draining:
         owner.changed = True
         logs.log_event(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -201,7 +201,7 @@
 ) -> dict[str, freecapacity.CandidateWorker]:
     """Return the workers that may be given tasks, with their free capacity."""
     return {
-        worker.info.id: _get_free_capacity(ledger, worker)
+        worker.info.id: _get_free_capacity(ledger, worker, now_ms)
         for worker in workers
         if fleet.find_obstacle(worker, now_ms) is None
         and not ledger.isolated_runs[worker.info.id]
@@ -216,19 +216,20 @@
     Workers that run isolated tasks count as well, although they get no others.
     """
     return waitlimit.list_idle_services(
-        _get_free_capacity(ledger, worker)
+        _get_free_capacity(ledger, worker, now_ms)
         for worker in workers
         if fleet.find_obstacle(worker, now_ms) is None
     )
 
 
 def _get_free_capacity(
-    ledger: ledgers.Ledger, worker: fleet.Worker
+    ledger: ledgers.Ledger, worker: fleet.Worker, now_ms: int
 ) -> freecapacity.CandidateWorker:
     return fleet.get_free_capacity(
         worker,
         ledger.used.get(worker.info.id, taskjobs.NO_RESOURCES),
-        workerspeeds.is_slow(ledger.speeds, worker.info.id),
+        fleet.is_cold(worker, now_ms)
+        or workerspeeds.is_slow(ledger.speeds, worker.info.id),
     )
 
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
@@ -88,6 +88,8 @@
             share an id.
         draining_ms: Minimum time left before the worker shuts down, or None
             if it is not draining.
+        data_centre: Data centre of the worker; empty if it is not known.
+        cold_ms: How much longer tasks are slow on it after its start.
     """
 
     id: str
@@ -98,6 +100,8 @@
     labels: frozenset[str]
     capacity: taskjobs.Resources
     draining_ms: int | None
+    data_centre: str = ""
+    cold_ms: int = 0
 
 
 class EndKind(enum.StrEnum):
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/runends.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/runends.py
@@ -29,7 +29,7 @@
     ):
         ledgers.remove_run(ledger, run)
         if end.kind is ports.EndKind.DONE:
-            _record_run_time(ledger, entry, run, now_ms)
+            _record_run_time(ledger, worker, entry, run, now_ms)
         else:
             ledgers.stop_other_members(ledger, run, f"member_{end.kind}")
     logs.log_event(
@@ -54,6 +54,7 @@
 
 def _record_run_time(
     ledger: ledgers.Ledger,
+    worker: fleet.Worker,
     entry: ledgers.JobEntry,
     run: ledgers.Run,
     now_ms: int,
@@ -61,8 +62,11 @@
     """Record the run time of a task that is comparable with its group's.
 
     A member of a gang waits for the slowest one, a task off the rack of its
-    data is slow anywhere, and a resumed task did only part of its work.
+    data is slow anywhere, a resumed task did only part of its work, and a
+    worker is slow for some time after its start.
     """
+    if fleet.is_cold(worker, run.since_ms):
+        return
     step = entry.job.steps[run.task.group.step]
     if step.gang or step.data_rack or step.long_running:
         return
--- a/testing/daemon/tasks/fakefleet.py
+++ b/testing/daemon/tasks/fakefleet.py
@@ -52,6 +52,7 @@
             frozenset({"a", rack}),
             CAPACITY,
             None,
+            f"dc-{rack}",
         )
         self.uptime_ms = 1_000
         self.unresponsive = False
--- a/testing/daemon/tasks/simulatedfleet.py
+++ b/testing/daemon/tasks/simulatedfleet.py
@@ -204,6 +204,7 @@
             frozenset({"a", rack}),
             CAPACITY,
             None,
+            f"dc-{rack}",
         )
         self.runs = {}
         self._reset()
--- a/testing/daemon/tasks/test_planning.py
+++ b/testing/daemon/tasks/test_planning.py
@@ -3,6 +3,7 @@
 import pytest
 from testing.core import taskbuilders as builders
 from testing.daemon.tasks import conftest
+from testing.daemon.tasks import fakefleet
 
 from cyclamenshelf_core import planstate
 from cyclamenshelf_core import taskjobs
@@ -328,3 +329,30 @@
 def test_large_step_does_not_fill_the_queue_of_starts(step, phases, startable):
     # The starts of other jobs waited behind thousands of its own.
     assert count_startable(step, phases) == startable
+
+
+def test_run_times_on_a_cold_worker_are_not_compared():
+    # Its first tasks, which are slow only for a time, decided its speed.
+    ledger = ledgers.Ledger(1)
+    add_job(ledger, 3)
+    worker = fleet.Worker(
+        fakefleet.FakeWorker("w0").info._replace(cold_ms=1_000), 6_000
+    )
+    fleet.record_cold_time(worker, NOW_MS - 5_000)
+    run_task(ledger, worker, 0, 4_500)
+    assert not ledger.speeds.by_job
+    run_task(ledger, worker, 1, 3_500)
+    assert ledger.speeds.by_job
+
+
+def test_cold_worker_is_slow_until_its_time_is_over():
+    worker = fleet.Worker(
+        fakefleet.FakeWorker("w0").info._replace(cold_ms=1_000), 6_000
+    )
+    fleet.record_response(worker, 1, NOW_MS)
+    fleet.record_cold_time(worker, NOW_MS)
+    for now_ms, slow in ((NOW_MS + 999, True), (NOW_MS + 1_000, False)):
+        capacities = planning.list_free_capacity(
+            ledgers.Ledger(1), [worker], now_ms
+        )
+        assert capacities["w0"].slow is slow
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -73,6 +73,23 @@
     assert decode_worker(json.dumps(value).encode()).draining_ms == 900
 
 
+@pytest.mark.parametrize(
+    ("fields", "data_centre", "cold_ms"),
+    [
+        ({}, "", 0),
+        ({"zone": "z", "cold_remaining_ms": 700}, "z", 700),
+        ({"zone": "z", "cold_remaining_ms": 700.5}, "z", 700),
+        ({"zone": "z", "cold_remaining_ms": -1}, "z", 0),
+        ({"zone": "z", "cold_remaining_ms": "700"}, "z", 0),
+        ({"zone": "z", "cold_remaining_ms": None}, "z", 0),
+    ],
+)
+def test_entry_has_data_centre_and_time_left_cold(fields, data_centre, cold_ms):
+    # A malformed hint must not make a worker unusable.
+    worker = decode_worker(json.dumps(ENTRY | fields).encode())
+    assert (worker.data_centre, worker.cold_ms) == (data_centre, cold_ms)
+
+
 @pytest.mark.parametrize(
     "value",
     [
@@ -86,6 +103,7 @@
         json.dumps(ENTRY | {"labels": [1]}).encode(),
         json.dumps(ENTRY | {"capacity": {"cpu": "1"}}).encode(),
         json.dumps(ENTRY | {"born": 1.5}).encode(),
+        json.dumps(ENTRY | {"zone": 7}).encode(),
         json.dumps(
             {name: v for name, v in ENTRY.items() if name != "service"}
         ).encode(),
