Serve the operators' request to empty a data centre

Cause: nothing read the rows `op/evacuate/ZONE`.

Change: the owner reads the requests from the copy of the operators' table that its host follows anyway. Workers there have the obstacle `evacuated`; planned starts are withdrawn, and each start order, also a repeated one, is checked before it is sent. An owner whose copy is older than half of `bounds.evacuation_ms` starts nothing; without that setting the copy has to have been read once. Finite tasks end there, unless they resume from a checkpoint and would take over 30 s; tasks that last are moved one by one as far as their step's `optional` allows (decoded now, as is how far a running task is).

Histories in virtual time ask to empty data centres beside takeovers, cuts and freezes. On trial copies, each of these makes a test fail: no worker counted as evacuated (histories), planned starts not withdrawn, requests not read again before stored starts are sent (a gang starts in part), no check before a repeated start, the age of the copy ignored (not in the histories: there the lease ends first).

--- /dev/null
+++ b/packages/core/src/cyclamenshelf_core/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on the tasks in a data centre that is being emptied."""
--- a/packages/core/src/cyclamenshelf_core/taskjobs.py
+++ b/packages/core/src/cyclamenshelf_core/taskjobs.py
@@ -48,6 +48,8 @@
             same worker.
         tail_target_ms: Tail latency that latency-sensitive tasks, which serve
             users of their own, must stay below; 0 for other tasks.
+        max_unavailable: Number of tasks of a long-running step that may be
+            unavailable at once because the scheduler moves them.
     """
 
     tasks: int
@@ -64,6 +66,7 @@
     long_running: bool = False
     fills: bool = False
     tail_target_ms: int = 0
+    max_unavailable: int = 0
 
 
 class TaskJob(NamedTuple):
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Emptying a data centre: nothing is started there, and what lasts moves."""
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
@@ -43,6 +43,7 @@
     UNDESCRIBED = "undescribed"
     UNRESPONSIVE = "unresponsive"
     DRAINING = "draining"
+    EVACUATED = "evacuated"
     QUARANTINED = "quarantined"
     REFUSING = "refusing"
 
@@ -80,6 +81,7 @@
             the last one that could says.
         described: Whether `info` is from an entry of this incarnation; before
             that, its capacity and labels are those of the earlier one.
+        evacuated: Whether operators have asked to empty its data centre.
         cold_until_ms: Monotonic time until which it is slow after its start.
         orphans: Resources of runs on it that the owner does not need.
         failed_jobs: Jobs whose tasks failed on it since its last success.
@@ -113,6 +115,7 @@
         self.unlisted_ms: int | None = None
         self.readable = True
         self.described = True
+        self.evacuated = False
         self.cold_until_ms = 0
         self.orphans: dict[RunKey, taskjobs.Resources] = {}
         self.failed_jobs: list[str] = []
@@ -141,6 +144,7 @@
     )
     successor.unlisted_ms = worker.unlisted_ms
     successor.readable = worker.readable
+    successor.evacuated = worker.evacuated
     record_cold_time(successor, now_ms)
     return successor
 
@@ -284,6 +288,8 @@
         return Obstacle.UNRESPONSIVE
     if worker.info.draining_ms is not None:
         return Obstacle.DRAINING
+    if worker.evacuated:
+        return Obstacle.EVACUATED
     if now_ms < worker.quarantined_until_ms:
         return Obstacle.QUARANTINED
     if now_ms < worker.refusing_until_ms:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -23,6 +23,7 @@
 from cyclamenshelf_daemon.tasks import relay as relays
 from cyclamenshelf_daemon.tasks import submission
 from cyclamenshelf_daemon.tasks import unresolvedjobs
+from cyclamenshelf_daemon.tasks.evacuation import requests
 
 # Cached lists that were not confirmed for this long may have been replaced.
 MAX_LISTS_AGE_MS = 2_500
@@ -47,12 +48,16 @@
         decode_lists: Returns the lists of that row, or None if it is invalid.
         workers_table: See `ownerstate.OwnerContext`.
         decode_worker: See `ownerstate.OwnerContext`.
+        decode_evacuation: See `evacuation.requests.Requests`; the rows are in
+            the table of the lists.
         lease_ms: Duration of the leases of workers.
         max_lease_ms: See `ownerstate.OwnerContext`.
         keep_ended_ms: How long the rows of ended jobs are kept.
         registry: Keeps the host's metrics.
         advise: See `ownerstate.OwnerContext`.
         max_row_bytes: Size of the largest row that the store accepts.
+        evacuation_ms: Time after the request to empty a data centre from which
+            no task may be started there; None if no limit is set.
     """
 
     store: ports.Store
@@ -67,12 +72,14 @@
     decode_lists: Callable[[ports.Row], queues.Lists | None]
     workers_table: str
     decode_worker: Callable[[ports.Row], ports.WorkerInfo | None]
+    decode_evacuation: Callable[[ports.Row], str | None]
     lease_ms: int
     max_lease_ms: int
     keep_ended_ms: int
     registry: metrics.Metrics
     advise: ports.Advise | None = None
     max_row_bytes: int = progresspages.DEFAULT_MAX_ROW_BYTES
+    evacuation_ms: int | None = None
 
 
 class Host(NamedTuple):
@@ -111,6 +118,12 @@
         context.workers_table,
         context.decode_worker,
         lambda: cached_lists.lists,
+        requests.Requests(
+            cached_lists.copy,
+            context.decode_evacuation,
+            clock,
+            context.evacuation_ms,
+        ),
         context.lease_ms,
         context.max_lease_ms,
         context.keep_ended_ms,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -44,6 +44,7 @@
         stored: Whether its worker is stored with the job.
         listed: Whether its worker has listed it as running, so it is known
             which incarnation of the worker has started it.
+        at_work: Whether a long-running task has started up.
         stop_acked_ms: Monotonic time at which a stop was acknowledged.
         stop_failed_ms: Monotonic time at which a stop was last left without
             an acknowledgement; None while one is on its way, which may be long
@@ -70,6 +71,7 @@
         self.stored = False
         self.acked_ms: int | None = None
         self.listed = False
+        self.at_work = False
         self.stop_acked_ms: int | None = None
         self.stop_failed_ms: int | None = None
         self.first_stop_ms: int | None = None
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/orders.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/orders.py
@@ -26,6 +26,9 @@
     """Dependencies of the functions that send orders.
 
     Attributes:
+        may_start: Returns whether a task may be started on a worker now. It is
+            called before each start order, as a start may wait for its turn
+            or be repeated.
         on_started: Called with the run and the refusal, or None if it runs.
         on_unacknowledged: Called with a run whose start may or may not have
             been carried out.
@@ -40,6 +43,7 @@
     tenure: ownership.Tenure
     clock: clocks.Clock
     lease_ms: int
+    may_start: Callable[[ports.WorkerInfo], bool]
     on_started: Callable[[ledgers.Run, ports.Refusal | None], None]
     on_unacknowledged: Callable[[ledgers.Run], None]
     on_not_sent: Callable[[ledgers.Run], None]
@@ -140,6 +144,8 @@
         late = context.clock.now_ms() - run.since_ms > _MAX_START_DELAY_MS
         if late or not ownership.is_lease_valid(context.tenure, context.clock):
             break
+        if not context.may_start(worker.info):
+            break
         lease = fleet.grant_lease(worker, context.clock, context.lease_ms)
         if lease is None:
             break
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -33,6 +33,9 @@
 from cyclamenshelf_daemon.tasks import suspension
 from cyclamenshelf_daemon.tasks import waitreports
 from cyclamenshelf_daemon.tasks import writer
+from cyclamenshelf_daemon.tasks.evacuation import moving
+from cyclamenshelf_daemon.tasks.evacuation import requests
+from cyclamenshelf_daemon.tasks.evacuation import tracking
 
 _TICK_MS = 200
 # How long a call to the store waits for changes of jobs and workers.
@@ -93,6 +96,7 @@
         owner.tenure,
         context.clock,
         context.lease_ms,
+        may_start=lambda info: requests.may_start(context.evacuations, info),
         on_started=make_poster(ownerruns.handle_start_response),
         on_unacknowledged=make_poster(ownerruns.handle_unacknowledged_start),
         on_not_sent=make_poster(ownerruns.handle_unsent_start),
@@ -109,8 +113,15 @@
             _run_calls(owner)
             ownerruns.check_run_timeouts(owner)
             ownerworkers.check_worker_timeouts(owner)
+            tracking.apply_requests(owner)
             _decide_if_due(owner)
             # A fault in a report must not end the tenure.
+            supervision.run_logged(
+                "evacuation_report_failed", tracking.report_if_due, owner
+            )
+            supervision.run_logged(
+                "evacuation_move_failed", moving.move_if_due, owner
+            )
             supervision.run_logged(
                 "pending_report_failed", pendingreports.report_if_due, owner
             )
@@ -124,6 +135,7 @@
         for pool in (owner.start_pool, owner.stop_pool):
             pool.shutdown(wait=False, cancel_futures=True)
         pendingreports.clear_metric(owner.context.registry)
+        tracking.clear_metrics(owner.context.registry)
         logs.log_event("owner_ended", epoch=owner.tenure.epoch)
 
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
@@ -13,6 +13,8 @@
 from cyclamenshelf_daemon.tasks import ownerstate
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import reports
+from cyclamenshelf_daemon.tasks.evacuation import requests
+from cyclamenshelf_daemon.tasks.evacuation import tracking
 
 _TICK_MS = 200
 _RESEND_STOP_MS = 1_500
@@ -133,6 +135,9 @@
     The members of a gang may be stored in several batches. They are sent
     together, as they work only together.
     """
+    # A gang with a member in a data centre that is being emptied since the last
+    # round is withdrawn whole.
+    tracking.apply_requests(owner)
     gangs: dict[taskjobs.Group, None] = {}
     for run in runs:
         run.stored = True
@@ -162,7 +167,10 @@
     if worker is None:
         ownerstate.withdraw_run(owner, run, now_ms)
         return
-    if not ownerstate.is_worker_list_current(owner):
+    if not (
+        ownerstate.is_worker_list_current(owner)
+        and requests.are_current(owner.context.evacuations)
+    ):
         ownerstate.withdraw_run(owner, run, now_ms)
         return
     if fleet.is_overcommitted(worker, owner.ledger.used[worker.info.id]):
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -22,6 +22,7 @@
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import submission
+from cyclamenshelf_daemon.tasks.evacuation import requests
 
 # Starts and stops have threads of their own: the stops of a cancelled job of
 # thousands of tasks must not keep the starts of others waiting.
@@ -43,6 +44,7 @@
         workers_table: Table in which workers register.
         decode_worker: Returns the worker of a row, or None if it names none.
         get_lists: Returns the lists in force.
+        evacuations: The operators' requests to empty data centres.
         lease_ms: Length of the leases of workers.
         max_lease_ms: Longest lease that a worker accepts.
         keep_ended_ms: How long the rows of ended jobs are kept.
@@ -58,6 +60,7 @@
     workers_table: str
     decode_worker: Callable[[ports.Row], ports.WorkerInfo | None]
     get_lists: Callable[[], queues.Lists]
+    evacuations: requests.Requests
     lease_ms: int
     max_lease_ms: int
     keep_ended_ms: int
@@ -78,6 +81,11 @@
         log_limiter: Limits the lines of events that may come often.
         listed_workers: Workers in the platform's list by id; None before the
             list was read.
+        evacuations: Data centres that operators have asked to empty, and since
+            when the owner knows.
+        emptied_data_centres: Those of them that run no tasks any more.
+        evacuation_due_ms: Monotonic time of the next report on them.
+        moves_due_ms: Monotonic time of the next choice of tasks to move.
         unreadable_workers: Ids whose latest entry in that list cannot be
             decoded.
         settle_until_ms: Monotonic time until which the first decision waits
@@ -122,6 +130,10 @@
         )
         self.workers_copy = following.TableCopy(context.workers_table)
         self.listed_workers: dict[str, ports.WorkerInfo] | None = None
+        self.evacuations: dict[str, int] = {}
+        self.emptied_data_centres: set[str] = set()
+        self.evacuation_due_ms = 0
+        self.moves_due_ms = 0
         self.unreadable_workers: set[str] = set()
         self.settle_until_ms = 0
         self.synced_ms = 0
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
@@ -186,7 +186,7 @@
         logs.log_event(
             "worker_draining", worker=info.id, left_ms=info.draining_ms
         )
-        _evacuate_worker(owner, worker)
+        _stop_tasks_of_draining_worker(owner, worker)
 
 
 def _use_record(owner: ownerstate.Owner, worker: fleet.Worker) -> None:
@@ -230,7 +230,9 @@
     return successor
 
 
-def _evacuate_worker(owner: ownerstate.Owner, worker: fleet.Worker) -> None:
+def _stop_tasks_of_draining_worker(
+    owner: ownerstate.Owner, worker: fleet.Worker
+) -> None:
     """Stop tasks that would not finish before a draining worker leaves.
 
     Checkpointable tasks are always stopped, as they keep their work.
@@ -295,7 +297,7 @@
     )
     if worker.info.draining_ms is not None:
         # An earlier owner may have left tasks that this one has adopted.
-        _evacuate_worker(owner, worker)
+        _stop_tasks_of_draining_worker(owner, worker)
     worker.has_listed_all = worker.has_listed_all or response.complete
     if worker.has_listed_all and worker.info.id in owner.unconfirmed_workers:
         owner.unconfirmed_workers.discard(worker.info.id)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -105,8 +105,8 @@
 ) -> None:
     """Update the workers by which it is decided whether work can ever run.
 
-    A worker that is busy, quarantined or unresponsive will accept tasks again;
-    one that drains will not.
+    A worker that is busy, quarantined, unresponsive or in a data centre that is
+    being emptied will accept tasks again; one that drains will not.
     """
     changed = feasibility.Fleet(
         feasibility.WorkerKind(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
@@ -116,11 +116,17 @@
 
 
 class RunningTask(NamedTuple):
-    """A task run that is in progress on a worker."""
+    """A task run that is in progress on a worker.
+
+    Attributes:
+        percent: How far a finite task is; below 100 while a long-running one
+            starts up.
+    """
 
     name: str
     run: int
     checkpoint: str
+    percent: int = 100
 
 
 class EndedTask(NamedTuple):
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
@@ -16,6 +16,9 @@
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import runends
 
+# A long-running task does its work once it is listed with this.
+_AT_WORK_PERCENT = 100
+
 StopOrphan = Callable[[fleet.Worker, str, int], None]
 
 
@@ -200,6 +203,7 @@
     if run.acked_ms is None:
         run.acked_ms = now_ms
     run.listed = True
+    run.at_work = running.percent >= _AT_WORK_PERCENT
     if running.checkpoint != run.checkpoint:
         run.checkpoint = running.checkpoint
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/suspension.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/suspension.py
@@ -4,6 +4,7 @@
 
 from cyclamenshelf_daemon.tasks import ownership
 from cyclamenshelf_daemon.tasks import ownerstate
+from cyclamenshelf_daemon.tasks.evacuation import requests
 
 
 class Suspension(enum.StrEnum):
@@ -11,6 +12,8 @@
 
     LEASE_UNPROVED = "lease_unproved"
     WORKERS_UNCONFIRMED = "workers_unconfirmed"
+    # Operators may have asked to empty a data centre since the last reading.
+    EVACUATIONS_UNCONFIRMED = "evacuations_unconfirmed"
     # The list of workers has not been read yet.
     WORKERS_UNREAD = "workers_unread"
     # A new owner waits for the responses of the workers.
@@ -23,6 +26,8 @@
         return Suspension.LEASE_UNPROVED
     if not ownerstate.is_worker_list_current(owner):
         return Suspension.WORKERS_UNCONFIRMED
+    if not requests.are_current(owner.context.evacuations):
+        return Suspension.EVACUATIONS_UNCONFIRMED
     return None
 
 
--- a/testing/daemon/tasks/conftest.py
+++ b/testing/daemon/tasks/conftest.py
@@ -8,11 +8,13 @@
 from testing.core import taskbuilders
 from testing.daemon.tasks import fakefleet
 from testing.daemon.tasks import fakestore
+from testing.daemon.tasks.evacuation import operators
 
 from cyclamenshelf_core import clock as clocks
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_daemon import metrics
+from cyclamenshelf_daemon.tasks import following
 from cyclamenshelf_daemon.tasks import jobstates
 from cyclamenshelf_daemon.tasks import owner as owners
 from cyclamenshelf_daemon.tasks import ownership
@@ -59,6 +61,14 @@
         self.tenures = []
         self.owners = []
         self.stopping = threading.Event()
+        self.operators_copy = following.TableCopy(operators.TABLE)
+        following.start_following(
+            self.operators_copy,
+            self.fake_store.store,
+            self.clock,
+            self.stopping,
+            wait_ms=500,
+        )
 
     def list_worker(self, worker):
         """Write the worker's current entry to the list of workers."""
@@ -113,6 +123,7 @@
             WORKERS_TABLE,
             lambda row: self.infos_by_value.get(row.value),
             lambda: self.lists,
+            operators.make_requests(self.operators_copy, self.clock),
             lease_ms,
             lease_ms,
             60_000,
--- a/testing/daemon/tasks/histories.py
+++ b/testing/daemon/tasks/histories.py
@@ -7,6 +7,7 @@
 from testing.core import taskbuilders as builders
 from testing.daemon.tasks import simulatedfleet
 from testing.daemon.tasks import virtualtime
+from testing.daemon.tasks.evacuation import operators
 
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
@@ -209,7 +210,9 @@
 class World:
     """Hosts, workers and jobs of one history."""
 
-    def __init__(self, seed, hosts=3, workers=6):
+    def __init__(self, seed, hosts=3, workers=6, evacuations=False):
+        self.evacuations = evacuations
+        self.evacuated_since_ms = {}
         self.generator = random.Random(seed)
         self.scheduler = virtualtime.Scheduler()
         self.clock = self.scheduler.make_clock()
@@ -281,6 +284,22 @@
         key = ports.RowKey(WORKERS_TABLE, worker.info.id)
         self.store.commit(ports.Transaction({}, {}, (key,)), 1_000)
 
+    def evacuate(self, data_centre):
+        now_ms = self.scheduler.now_ms
+        self.evacuated_since_ms.setdefault(data_centre, now_ms)
+        operators.evacuate(self.store, data_centre)
+
+    def take_back(self, data_centre):
+        self.evacuated_since_ms.pop(data_centre, None)
+        operators.take_back(self.store, data_centre)
+
+    def _check_start(self, order):
+        since_ms = self.evacuated_since_ms.get(order.worker.data_centre)
+        if since_ms is not None and (
+            self.scheduler.now_ms > since_ms + operators.BOUND_MS
+        ):
+            self.work.fail(f"start of {order.name} in an evacuated data centre")
+
     def submit(self, priority, *steps):
         job_id = f"{len(self.work.jobs) + 1:016x}"
         job = builders.make_job(
@@ -354,11 +373,12 @@
         store = self.store.connect(host)
         context = ownerstate.OwnerContext(
             store,
-            simulatedfleet.make_worker_client(self.network, host, self.workers),
+            self._connect_workers(host),
             self.clock,
             WORKERS_TABLE,
             lambda row: self.infos.get(row.value),
             lambda: LISTS,
+            self._follow_evacuations(host, store),
             LEASE_MS,
             simulatedfleet.MAX_LEASE_MS,
             KEEP_ENDED_MS,
@@ -392,6 +412,31 @@
             ),
         )
 
+    def _follow_evacuations(self, host, store):
+        """Return the requests to empty data centres that a host follows."""
+        copy = following.TableCopy(operators.TABLE)
+        if self.evacuations:
+            self.scheduler.start(
+                host.process,
+                following.start_following,
+                (copy, store, self.clock, host.stopping, 1_000),
+            )
+            return operators.make_requests(copy, self.clock)
+        # More calls would change the histories of all seeds.
+        copy.confirmed_ms = 0
+        return operators.make_requests(copy, self.clock, bound_ms=None)
+
+    def _connect_workers(self, host):
+        client = simulatedfleet.make_worker_client(
+            self.network, host, self.workers
+        )
+
+        def start(order, timeout_ms):
+            self._check_start(order)
+            return client.start(order, timeout_ms)
+
+        return client._replace(start=start)
+
     def get_owner_host(self):
         """Return the host that took over last, else any."""
         return self.owners[-1][0] if self.owners else self.hosts[0]
--- a/testing/daemon/tasks/test_takeover_histories.py
+++ b/testing/daemon/tasks/test_takeover_histories.py
@@ -36,8 +36,8 @@
 class History:
     """A random history of faults on a world."""
 
-    def __init__(self, seed):
-        self.world = histories.World(seed)
+    def __init__(self, seed, evacuations=False):
+        self.world = histories.World(seed, evacuations=evacuations)
         self.generator = self.world.generator
         self.longest_wait_ms = 0
         self.faults = [
@@ -59,6 +59,8 @@
             )
             if self.generator.random() < 0.35
         ] or [self.kill_owner]
+        if evacuations:
+            self.faults.append(self.evacuate)
         self.world.kill_after_takeover = self.generator.choice((0, 0.3, 0.6))
         self.crashes_left = 1
         # Four workers without tasks that last remain for the widest gang.
@@ -220,6 +222,15 @@
         self.world.network.late = self.generator.choice((0, 0.1, 0.4))
         self._note("late", share=self.world.network.late)
 
+    def evacuate(self):
+        rack = self.generator.choice(histories.RACKS)
+        self._note("evacuate", rack=rack)
+        self.world.evacuate(f"dc-{rack}")
+        self.world.scheduler.call_after(
+            self.generator.randint(500, 14_000),
+            lambda: self.world.take_back(f"dc-{rack}"),
+        )
+
     def cancel_job(self):
         if self.world.work.jobs:
             job_id = self.generator.choice(list(self.world.work.jobs))
@@ -231,6 +242,8 @@
         network = self.world.network
         network.loss = network.late = network.slow_store_ms = 0
         self.world.kill_after_takeover = 0.0
+        for data_centre in list(self.world.evacuated_since_ms):
+            self.world.take_back(data_centre)
         for worker in self.world.workers:
             worker.cut_until = 0
         for host in self.world.hosts:
@@ -282,3 +295,10 @@
 def test_jobs_run_and_complete_after_any_changes_of_the_owner(seed):
     # A run that an owner holds and that never ends would hold its job.
     assert History(seed).play() == []
+
+
+@hypothesis.settings(max_examples=EXAMPLES)
+@hypothesis.given(strategies.integers(0, 2**32 - 1))
+def test_nothing_starts_in_evacuated_data_centre_after_any_changes(seed):
+    # A new owner, or one cut off from the store, does not know all requests.
+    assert History(seed, evacuations=True).play() == []
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -90,6 +90,25 @@
     assert (worker.data_centre, worker.cold_ms) == (data_centre, cold_ms)
 
 
+@pytest.mark.parametrize(
+    ("key", "value", "data_centre"),
+    [
+        ("evacuate/z", b"{}", "z"),
+        ("evacuate/z", b"", "z"),
+        ("evacuate/z", b"\xff", "z"),
+        ("evacuate/z", None, None),
+        ("evacuate/", b"{}", None),
+        ("evacuate", b"{}", None),
+        ("evacuate/z/1", b"{}", "z/1"),
+        ("config", b"{}", None),
+    ],
+)
+def test_row_asks_to_empty_a_data_centre_by_its_key(key, value, data_centre):
+    # A malformed value must not let tasks start there.
+    row = ports.Row(ports.RowKey("op", key), 3, value)
+    assert operator.decode_evacuation(row) == data_centre
+
+
 @pytest.mark.parametrize(
     "value",
     [
@@ -285,3 +304,27 @@
         client.read("table", 100)
     with pytest.raises(errors.OutcomeUnknownError):
         client.commit(ports.Transaction({}, {}), 100)
+
+
+@pytest.mark.parametrize(
+    ("fields", "percent"),
+    [
+        (["n", 1, ""], 100),
+        (["n", 1, "", 40], 40),
+        (["n", 1, "", 40.5, 7], 40),
+        (["n", 1, "", None], 100),
+    ],
+)
+def test_listed_task_has_its_percentage(fields, percent):
+    # A missing or malformed one must not make the worker unresponsive.
+    response = workers._decode_renewal_response(
+        {"clock_ms": 1, "running": [fields]},
+        decode_worker(json.dumps(ENTRY).encode()),
+    )
+    assert response.running == (ports.RunningTask("n", 1, "", percent),)
+
+
+def test_step_says_how_many_tasks_may_be_unavailable():
+    step = {"count": 3, "long_running": True, "optional": 2}
+    body = json.dumps({"specification": "", "steps": [step]}).encode()
+    assert callers.decode_job(body)[1][0].max_unavailable == 2
--- a/testing/platform/test_host.py
+++ b/testing/platform/test_host.py
@@ -15,6 +15,7 @@
 import urllib3
 
 from cyclamenshelf_core import errors
+from cyclamenshelf_daemon.tasks import ports
 
 ROOT = pathlib.Path(__file__).parents[2]
 JOB_ID = "00000000000000a1"
@@ -361,3 +362,20 @@
         cluster.call("b", "POST", job_path, body=JOB_BODY, key="no")[0] == 401
     )
     assert cluster.call("b", "DELETE", job_path)[0] == 200
+
+
+def test_data_centre_being_emptied_gets_no_tasks_until_taken_back(cluster):
+    # The request was acknowledged, and tasks were started there all the same.
+    cluster.start_host("a")
+    fake_store = cluster.store_server.fake_store
+    worker = cluster.worker_server.worker
+    wait_until(lambda: worker.epoch == 1, "a is the owner")
+    fake_store.put("op", "evacuate/z", b"{}")
+    time.sleep(1)
+    assert cluster.call("a", "POST", body=JOB_BODY)[0] == 200
+    time.sleep(2)
+    assert not worker.started
+    fake_store.commit(
+        ports.Transaction({}, {}, (ports.RowKey("op", "evacuate/z"),)), 0
+    )
+    wait_until(lambda: len(worker.running) == 2, "both tasks run")
