--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
@@ -140,18 +140,19 @@
 
 
 def _add_worker(owner: ownerstate.Owner, info: ports.WorkerInfo) -> None:
-    _use_record(
-        owner,
-        fleet.Worker(
-            info, owner.context.max_lease_ms, owner.unconfirmed_until_ms
-        ),
+    worker = fleet.Worker(
+        info, owner.context.max_lease_ms, owner.unconfirmed_until_ms
     )
+    fleet.record_cold_time(worker, owner.context.clock.now_ms())
+    _use_record(owner, worker)
     logs.log_event(
         "worker_listed",
         worker=info.id,
         rack=info.rack,
         service=info.service,
         born_ms=info.started_ms,
+        data_centre=info.data_centre,
+        cold_ms=info.cold_ms,
     )
 
 
@@ -175,13 +176,17 @@
     starts_draining = (
         info.draining_ms is not None and worker.info.draining_ms is None
     )
+    # An entry is applied again at each synchronisation with the list.
+    arrived = info is not worker.info
     worker.info = info
+    if arrived:
+        fleet.record_cold_time(worker, owner.context.clock.now_ms())
     if starts_draining:
         owner.changed = True
         logs.log_event(
             "worker_draining", worker=info.id, left_ms=info.draining_ms
         )
-        _evacuate_worker(owner, worker)
+        _stop_tasks_of_draining_worker(owner, worker)
 
 
 def _use_record(owner: ownerstate.Owner, worker: fleet.Worker) -> None:
@@ -225,7 +230,9 @@
     return successor
 
 
-def _evacuate_worker(owner: ownerstate.Owner, worker: fleet.Worker) -> None:
+def _stop_tasks_of_draining_worker(
+    owner: ownerstate.Owner, worker: fleet.Worker
+) -> None:
     """Stop tasks that would not finish before a draining worker leaves.
 
     Checkpointable tasks are always stopped, as they keep their work.
@@ -290,7 +297,7 @@
     )
     if worker.info.draining_ms is not None:
         # An earlier owner may have left tasks that this one has adopted.
-        _evacuate_worker(owner, worker)
+        _stop_tasks_of_draining_worker(owner, worker)
     worker.has_listed_all = worker.has_listed_all or response.complete
     if worker.has_listed_all and worker.info.id in owner.unconfirmed_workers:
         owner.unconfirmed_workers.discard(worker.info.id)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
@@ -88,6 +88,8 @@
             share an id.
         draining_ms: Minimum time left before the worker shuts down, or None
             if it is not draining.
+        data_centre: Data centre of the worker; empty if it is not known.
+        cold_ms: How much longer tasks are slow on it after its start.
     """
 
     id: str
@@ -98,6 +100,8 @@
     labels: frozenset[str]
     capacity: taskjobs.Resources
     draining_ms: int | None
+    data_centre: str = ""
+    cold_ms: int = 0
 
 
 class EndKind(enum.StrEnum):
@@ -112,11 +116,17 @@
 
 
 class RunningTask(NamedTuple):
-    """A task run that is in progress on a worker."""
+    """A task run that is in progress on a worker.
+
+    Attributes:
+        percent: How far a finite task is; below 100 while a long-running one
+            starts up.
+    """
 
     name: str
     run: int
     checkpoint: str
+    percent: int = 100
 
 
 class EndedTask(NamedTuple):
