--- a/packages/core/src/cyclamenshelf_core/victimcosts.py
+++ b/packages/core/src/cyclamenshelf_core/victimcosts.py
@@ -22,6 +22,9 @@
         guaranteed: Whether the account's guarantee covers the job.
         fills: Whether the task is best-effort.
         latency_sensitive: Whether the task has a tail latency target.
+        expected_left_ms: Time after which the task is expected to end by
+            itself, by its caller's estimate; None if unknown, as it is once
+            the task has run longer than estimated.
     """
 
     task: taskjobs.Task
@@ -35,6 +38,7 @@
     guaranteed: bool
     fills: bool = False
     latency_sensitive: bool = False
+    expected_left_ms: int | None = None
 
 
 class Preemptor(NamedTuple):
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -180,11 +180,20 @@
                     job.id in guaranteed_jobs,
                     step.fills,
                     step.tail_target_ms > 0,
+                    _estimate_left_ms(step, run, now_ms),
                 )
             )
     return held
 
 
+def _estimate_left_ms(
+    step: taskjobs.Step, run: ledgers.Run, now_ms: int
+) -> int | None:
+    """Return how long a run is expected to continue, or None if unknown."""
+    left_ms = step.expected_run_ms - max(0, now_ms - run.since_ms)
+    return left_ms if left_ms > 0 and not step.long_running else None
+
+
 def _is_stop_overdue(run: ledgers.Run, now_ms: int) -> bool:
     """Return whether a run was to be stopped long ago and may not end soon.
 
