Stop what loses least, also on workers that leave

Cause: a stop of a task with checkpoints was priced at a constant 100 ms of restore, while the settings say 250 to 600 ms and a stop takes up to 400 ms more. Gangs of 19 workers were stopped where a few single tasks would have made room; of a gang's members on a worker each was priced as a stop of the whole gang; a gang was stopped after 10.3 of its 11 s. On draining workers every task with checkpoints was stopped, and the other members of its gang only once the first end was listed, so that most of them broke. The end of a run replaced or missed a newer checkpoint that its worker had listed.

Change: the terms of stops come from the settings file. A stop costs what a task has done, or the restore, for all members of a gang and with the time of the stop; the cost of a gang is shared by the tasks that it makes room for. A task that is expected to end sooner than a stop would is not stopped. On a draining worker, tasks that are expected to end in time go on until shortly before it may leave, and gangs are stopped as a whole. A restart carries the newest checkpoint that was listed, however the run ended, and what it saved counts in the estimate of the time left.

--- /dev/null
+++ b/packages/core/src/cyclamenshelf_core/stopping/__init__.py
@@ -0,0 +1,1 @@
+"""What stopping a task loses, and which tasks are better left alone."""
--- a/packages/core/src/cyclamenshelf_core/victimcosts.py
+++ b/packages/core/src/cyclamenshelf_core/victimcosts.py
@@ -25,6 +25,10 @@
         expected_left_ms: Time after which the task is expected to end by
             itself, by its caller's estimate; None if unknown, as it is once
             the task has run longer than estimated.
+        stop_ms: Time that a stop may take, during which its resources are
+            of no use.
+        spared: Whether it is not to be stopped now, as it is expected to end
+            sooner by itself.
     """
 
     task: taskjobs.Task
@@ -39,6 +43,8 @@
     fills: bool = False
     latency_sensitive: bool = False
     expected_left_ms: int | None = None
+    stop_ms: int = 0
+    spared: bool = False
 
 
 class Preemptor(NamedTuple):
@@ -104,6 +110,7 @@
         available: taskjobs.Resources,
         need: taskjobs.Resources,
         preemptor: Preemptor,
+        task_count: int = 1,
     ) -> float:
         """Return the cost of the stops that make one task fit on a worker.
 
@@ -112,12 +119,14 @@
             available: Resources that are free there or being released.
             need: Resources that the task needs.
             preemptor: Priority and guarantee of the task's group.
+            task_count: Number of the group's tasks without room, which share
+                the cost of a stopped gang.
         """
         cached = self._costs.setdefault(worker_id, {})
-        key = (available, need, preemptor)
+        key = (available, need, preemptor, task_count)
         if key not in cached:
             cached[key] = _estimate_cost(
-                self, worker_id, available, need, preemptor
+                self, worker_id, available, need, preemptor, task_count
             )
         return cached[key]
 
@@ -154,14 +163,23 @@
     available: taskjobs.Resources,
     need: taskjobs.Resources,
     preemptor: Preemptor,
+    task_count: int,
 ) -> float:
     cost = 0.0
+    gangs: set[taskjobs.Group] = set()
     for held in victims.list_in_stop_order(worker_id):
         if taskjobs.count_fitting(available, need) > 0:
             break
-        if _is_preemptible(victims, held, preemptor):
-            available = taskjobs.add(available, held.need)
-            cost += 1 + _estimate_lost_work(victims, held)
+        if not _is_preemptible(victims, held, preemptor):
+            continue
+        available = taskjobs.add(available, held.need)
+        if held.task.group in gangs:
+            continue
+        if held.gang:
+            gangs.add(held.task.group)
+        members = _count_members(victims, held)
+        lost_work = _estimate_lost_work(victims, held)
+        cost += 1 + lost_work / min(members, task_count)
     return cost
 
 
@@ -202,7 +220,9 @@
 def _is_preemptible(
     victims: VictimIndex, held: Allocation, preemptor: Preemptor
 ) -> bool:
-    if held.long_running or held.stopping or held.task in victims.chosen:
+    if held.long_running or held.stopping or held.spared:
+        return False
+    if held.task in victims.chosen:
         return False
     if held.priority != preemptor.priority:
         return held.priority > preemptor.priority
@@ -220,12 +240,23 @@
 
 def compute_lost_core_ms(held: Allocation) -> float:
     """Return the core-milliseconds of its own work that a stop loses."""
+    return held.lost_work_ms * _count_cores(held)
+
+
+def _count_cores(held: Allocation) -> float:
     cores = held.need.cpu_millis / 1000
-    cores += held.need.accelerators * _CORES_PER_ACCELERATOR
-    return held.lost_work_ms * cores
+    return cores + held.need.accelerators * _CORES_PER_ACCELERATOR
+
+
+def _count_members(victims: VictimIndex, held: Allocation) -> int:
+    return len(victims.by_group[held.task.group]) if held.gang else 1
 
 
 def _estimate_lost_work(victims: VictimIndex, held: Allocation) -> float:
-    """Return the core-milliseconds of work that a stop loses, gang included."""
-    member_count = len(victims.by_group[held.task.group]) if held.gang else 1
-    return compute_lost_core_ms(held) * member_count
+    """Return the core-milliseconds that a stop loses, gang included.
+
+    They are those of lost work, and those for which nothing works while the
+    stop is carried out: half of its longest time on average.
+    """
+    lost_ms = held.lost_work_ms + held.stop_ms / 2
+    return lost_ms * _count_cores(held) * _count_members(victims, held)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
@@ -80,6 +80,8 @@
             the last one that could says.
         described: Whether `info` is from an entry of this incarnation; before
             that, its capacity and labels are those of the earlier one.
+        leaves_ms: Monotonic time until which it certainly stays while it
+            drains.
         orphans: Resources of runs on it that the owner does not need.
         failed_jobs: Jobs whose tasks failed on it since its last success.
         quarantined_until_ms: Monotonic time at which its quarantine ends.
@@ -112,6 +114,7 @@
         self.unlisted_ms: int | None = None
         self.readable = True
         self.described = True
+        self.leaves_ms = 0
         self.orphans: dict[RunKey, taskjobs.Resources] = {}
         self.failed_jobs: list[str] = []
         self.quarantined_until_ms = 0
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -11,6 +11,7 @@
 from cyclamenshelf_core import urgentdemand
 from cyclamenshelf_core import workerlosses
 from cyclamenshelf_core import workerspeeds
+from cyclamenshelf_core.stopping import losses
 from cyclamenshelf_daemon import logs
 
 _RUNS_PER_EPOCH = 1_000_000
@@ -50,6 +51,8 @@
             where thousands wait for their turn.
         first_stop_ms: Monotonic time at which a stop was first sent.
         checkpoint: Latest checkpoint that the worker has listed.
+        resumed_ms: Work that the checkpoint saves from which it was started,
+            as far as it is known.
         reason: Why it is being stopped.
         isolated: Whether its worker gets no other tasks meanwhile.
     """
@@ -74,6 +77,7 @@
         self.stop_failed_ms: int | None = None
         self.first_stop_ms: int | None = None
         self.checkpoint = ""
+        self.resumed_ms = 0
         self.reason = ""
         self.isolated = isolated
 
@@ -97,6 +101,8 @@
             monotonic time since when.
         unstored_ends: By page, the first end on each worker whose effects are
             not stored: start time of the worker and number of the end.
+        saved_work_ms: Work that the latest checkpoint of a task saves, by task
+            as in its progress. A new owner knows none of it.
         rejections: Number of times in a row that the store has rejected the
             progress for good.
         rejected_until_ms: Monotonic time until which the progress is not
@@ -128,6 +134,7 @@
         self.preempting: dict[taskjobs.Group, int] = {}
         self.blocked_since_ms: dict[taskjobs.Group, int] = {}
         self.unstored_ends: dict[int, dict[str, tuple[int, int]]] = {}
+        self.saved_work_ms: dict[taskjobs.Task, int] = {}
         self.rejections = 0
         self.rejected_until_ms = 0
 
@@ -151,10 +158,14 @@
         speeds: Estimates of the workers' speeds.
         urgent_demand: Recent demand of priority 0.
         fleet: Workers by which it is decided whether work can ever run.
+        stop_terms: How workers stop tasks and resume them.
     """
 
-    def __init__(self, epoch: int) -> None:
+    def __init__(
+        self, epoch: int, stop_terms: losses.StopTerms = losses.DEFAULT_TERMS
+    ) -> None:
         self.epoch = epoch
+        self.stop_terms = stop_terms
         self.jobs: dict[str, JobEntry] = {}
         self.runs: dict[taskjobs.Task, Run] = {}
         self.by_group: dict[taskjobs.Group, dict[taskjobs.Task, Run]] = {}
@@ -199,6 +210,14 @@
     return entry.job.steps[run.task.group.step].need
 
 
+def compute_work_ms(ledger: Ledger, run: Run, now_ms: int) -> int:
+    """Return the work that a run has done, with what it resumed from."""
+    work_ms = max(0, now_ms - run.since_ms)
+    if run.resumed_ms:
+        work_ms = max(0, work_ms - ledger.stop_terms.restore_ms)
+    return run.resumed_ms + work_ms
+
+
 def add_run(ledger: Ledger, run: Run) -> None:
     """Add a run to all indexes."""
     ledger.runs[run.task] = run
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
@@ -186,6 +186,7 @@
     # Its polling may be paused, but it gets a lease now and has to renew it.
     fleet.wake_worker(worker, now_ms)
     run.since_ms = now_ms
+    run.resumed_ms = entry.saved_work_ms.get(checkpoint_task, 0)
     orders.send_start(
         owner.orders,
         worker,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -7,6 +7,7 @@
 
 from cyclamenshelf_core import clock as clocks
 from cyclamenshelf_core import progresspages
+from cyclamenshelf_core.stopping import losses
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import metrics
 from cyclamenshelf_daemon.tasks import advice
@@ -50,6 +51,7 @@
         advise: Requests which workers may run a step; None without a
             recommendation service.
         max_row_bytes: Size of the largest row that the store accepts.
+        stop_terms: How workers stop tasks and resume them.
     """
 
     store: ports.Store
@@ -64,6 +66,7 @@
     registry: metrics.Metrics
     advise: ports.Advise | None = None
     max_row_bytes: int = progresspages.DEFAULT_MAX_ROW_BYTES
+    stop_terms: losses.StopTerms = losses.DEFAULT_TERMS
 
 
 class Owner:
@@ -101,7 +104,7 @@
     def __init__(self, context: OwnerContext, tenure: ownership.Tenure) -> None:
         self.context = context
         self.tenure = tenure
-        self.ledger = ledgers.Ledger(tenure.epoch)
+        self.ledger = ledgers.Ledger(tenure.epoch, context.stop_terms)
         self.workers: dict[str, fleet.Worker] = {}
         self.calls: queue.SimpleQueue[Callable[[], None]] = queue.SimpleQueue()
         self.batches: queue.SimpleQueue = queue.SimpleQueue()
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
@@ -1,6 +1,7 @@
 """Workers of the owner: added, updated, drained and removed."""
 
 from cyclamenshelf_core import workerspeeds
+from cyclamenshelf_core.stopping import losses
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import following
@@ -76,6 +77,9 @@
 def check_worker_timeouts(owner: ownerstate.Owner) -> None:
     """Synchronise with the list again if that is due."""
     _expire_unconfirmed_workers(owner)
+    for worker in owner.workers.values():
+        if worker.info.draining_ms is not None:
+            _evacuate_worker(owner, worker)
     due_ms = owner.synced_ms + _SYNC_INTERVAL_MS
     if (
         owner.listed_workers is not None
@@ -175,7 +179,11 @@
     starts_draining = (
         info.draining_ms is not None and worker.info.draining_ms is None
     )
+    # The same entry is applied again with each synchronisation.
+    reports_drain = info.draining_ms != worker.info.draining_ms
     worker.info = info
+    if reports_drain:
+        _record_drain(worker, owner.context.clock.now_ms())
     if starts_draining:
         owner.changed = True
         logs.log_event(
@@ -184,9 +192,16 @@
         _evacuate_worker(owner, worker)
 
 
+def _record_drain(worker: fleet.Worker, now_ms: int) -> None:
+    """Record until when a worker that drains is certain to stay."""
+    if worker.info.draining_ms is not None:
+        worker.leaves_ms = now_ms + worker.info.draining_ms
+
+
 def _use_record(owner: ownerstate.Owner, worker: fleet.Worker) -> None:
     """Use a new record of a worker, and start to renew its lease."""
     owner.workers[worker.info.id] = worker
+    _record_drain(worker, owner.context.clock.now_ms())
     links.start_link(owner.links, worker)
 
 
@@ -226,19 +241,24 @@
 
 
 def _evacuate_worker(owner: ownerstate.Owner, worker: fleet.Worker) -> None:
-    """Stop tasks that would not finish before a draining worker leaves.
+    """Stop the tasks on a draining worker that lose less by being moved.
 
-    Checkpointable tasks are always stopped, as they keep their work.
+    The members of a gang are stopped together: each that is still at work when
+    another has ended loses what it did since.
     """
-    left_ms = worker.info.draining_ms or 0
     now_ms = owner.context.clock.now_ms()
+    left_ms = max(0, worker.leaves_ms - now_ms)
     for run in ledgers.list_worker_runs(owner.ledger, worker.info.id):
+        if run.phase in (ledgers.Phase.STOPPING, ledgers.Phase.LOST):
+            continue
         entry = owner.ledger.jobs[run.task.group.job_id]
         step = entry.job.steps[run.task.group.step]
-        remaining_ms = step.expected_run_ms - (now_ms - run.since_ms)
-        finishes = not step.long_running and remaining_ms <= left_ms
-        if step.checkpointable or not finishes:
+        work_ms = ledgers.compute_work_ms(owner.ledger, run, now_ms)
+        if losses.is_stopped_for_drain(
+            step, work_ms, left_ms, owner.ledger.stop_terms
+        ):
             ledgers.stop_run(owner.ledger, run, "worker_draining")
+            ledgers.stop_other_members(owner.ledger, run, "worker_draining")
 
 
 def _remove_worker_if_expired(
@@ -288,9 +308,6 @@
             owner.orders, worker, name, number
         ),
     )
-    if worker.info.draining_ms is not None:
-        # An earlier owner may have left tasks that this one has adopted.
-        _evacuate_worker(owner, worker)
     worker.has_listed_all = worker.has_listed_all or response.complete
     if worker.has_listed_all and worker.info.id in owner.unconfirmed_workers:
         owner.unconfirmed_workers.discard(worker.info.id)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -15,14 +15,13 @@
 from cyclamenshelf_core import waitlimit
 from cyclamenshelf_core import workerlosses
 from cyclamenshelf_core import workerspeeds
+from cyclamenshelf_core.stopping import losses
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import lostworkers
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import startqueue
 
-# Time that a start from a checkpoint loses.
-_RESTORE_MS = 100
 # A stop that takes longer is not certain to free the resources of its run soon.
 _MAX_STOP_MS = 2_000
 # Phases of runs that work, or will soon.
@@ -161,10 +160,12 @@
     for group, runs in ledger.by_group.items():
         job = ledger.jobs[group.job_id].job
         step = job.steps[group.step]
-        # A stopped checkpointable task keeps its work and only loses the
-        # time of the restore.
-        max_lost_ms = _RESTORE_MS if step.checkpointable else now_ms
+        terms = ledger.stop_terms
         for run in runs.values():
+            elapsed_ms = max(0, now_ms - run.since_ms)
+            left_ms = _estimate_left_ms(
+                step, ledgers.compute_work_ms(ledger, run, now_ms)
+            )
             held.append(
                 victimcosts.Allocation(
                     run.task,
@@ -175,22 +176,22 @@
                     job.priority,
                     step.gang,
                     step.long_running,
-                    min(max(0, now_ms - run.since_ms), max_lost_ms),
+                    losses.estimate_lost_ms(step, elapsed_ms, terms),
                     run.phase in (ledgers.Phase.STOPPING, ledgers.Phase.LOST),
                     job.id in guaranteed_jobs,
                     step.fills,
                     step.tail_target_ms > 0,
-                    _estimate_left_ms(step, run, now_ms),
+                    left_ms,
+                    terms.stop_ms,
+                    losses.ends_before_stop(left_ms, terms),
                 )
             )
     return held
 
 
-def _estimate_left_ms(
-    step: taskjobs.Step, run: ledgers.Run, now_ms: int
-) -> int | None:
+def _estimate_left_ms(step: taskjobs.Step, work_ms: int) -> int | None:
     """Return how long a run is expected to continue, or None if unknown."""
-    left_ms = step.expected_run_ms - max(0, now_ms - run.since_ms)
+    left_ms = step.expected_run_ms - work_ms
     return left_ms if left_ms > 0 and not step.long_running else None
 
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
@@ -200,8 +200,7 @@
     if run.acked_ms is None:
         run.acked_ms = now_ms
     run.listed = True
-    if running.checkpoint != run.checkpoint:
-        run.checkpoint = running.checkpoint
+    run.checkpoint = max(run.checkpoint, running.checkpoint)
 
 
 def _record_orphan(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/runends.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/runends.py
@@ -31,6 +31,7 @@
         if end.kind is ports.EndKind.DONE:
             _record_run_time(ledger, entry, run, now_ms)
         else:
+            _save_run(ledger, entry, run, end.checkpoint, now_ms)
             ledgers.stop_other_members(ledger, run, f"member_{end.kind}")
     logs.log_event(
         "task_ended",
@@ -91,8 +92,8 @@
         if not step.long_running:
             _mark_done(ledger, entry, task, wall_ms)
         return
-    if step.checkpointable and _save_checkpoint(entry, task, end.checkpoint):
-        entry.dirty = True
+    if step.checkpointable:
+        _save_checkpoint(entry, task, end.checkpoint)
     if end.kind is not ports.EndKind.FAILED:
         return
     if fleet.record_failure(worker, entry.job.id, now_ms):
@@ -118,6 +119,28 @@
         )
 
 
+def _save_run(
+    ledger: ledgers.Ledger,
+    entry: ledgers.JobEntry,
+    run: ledgers.Run,
+    checkpoint: str,
+    now_ms: int,
+) -> None:
+    """Keep the latest checkpoint of a run that has terminated.
+
+    A run that ended with another member of its gang, or with its lease, may
+    end with an earlier checkpoint than its worker has listed, or with none.
+    """
+    step = entry.job.steps[run.task.group.step]
+    if entry.progress.state in taskprogress.ENDED or not step.checkpointable:
+        return
+    if _save_checkpoint(entry, run.task, max(checkpoint, run.checkpoint)):
+        recorded_task = taskprogress.get_representative(entry.job, run.task)
+        entry.saved_work_ms[recorded_task] = ledgers.compute_work_ms(
+            ledger, run, now_ms
+        )
+
+
 def _save_checkpoint(
     entry: ledgers.JobEntry, task: taskjobs.Task, checkpoint: str
 ) -> bool:
@@ -140,6 +163,7 @@
         )
         return False
     entry.progress.checkpoints[recorded_task] = checkpoint
+    entry.dirty = True
     ledgers.mark_changed(entry, recorded_task)
     return True
 
@@ -183,9 +207,7 @@
     if ledger.runs.get(run.task) is not run:
         return
     entry = ledger.jobs[run.task.group.job_id]
-    step = entry.job.steps[run.task.group.step]
-    if step.checkpointable:
-        _save_checkpoint(entry, run.task, run.checkpoint)
+    _save_run(ledger, entry, run, "", now_ms)
     ledgers.remove_run(ledger, run)
     ledgers.stop_other_members(ledger, run, f"member_{reason}")
     logs.log_event(
--- a/testing/core/test_victimsearch.py
+++ b/testing/core/test_victimsearch.py
@@ -54,6 +54,21 @@
     }
 
 
+def test_search_ends_beside_a_worker_with_more_slots():
+    # The cost of no further task was asked for, which ended the owner.
+    workers = make_full_workers("w00")
+    held = [
+        make_held("a", "w00", 100, index)._replace(
+            need=taskjobs.Resources(16_000, 32_000, 4)
+        )
+        for index in range(2)
+    ]
+    job = builders.make_job("urgent", builders.make_step(1, 4), priority=0)
+    waiting = builders.make_waiting_group(job)
+    result = taskplan.plan([waiting], held, workers, {}, {})
+    assert len(result.stops) == 1
+
+
 def test_least_lost_work_is_stopped_across_workers():
     workers = make_full_workers("w00", "w01", "w02")
     held = [
--- a/testing/daemon/tasks/fakefleet.py
+++ b/testing/daemon/tasks/fakefleet.py
@@ -37,6 +37,7 @@
         poll_s: How long a response to a renewal waits for ends.
         stop_s: How long a response to a stop takes.
         stop_count: Number of stops that it was sent.
+        checkpoints: Checkpoints that this list shows, by task name.
         started: Names, numbers and checkpoints of all started runs, in order.
         highest_closed_runs: Highest run number that has ended or was stopped,
             by task name; runs up to it can't be started any more.
@@ -68,6 +69,7 @@
         self.poll_s = 0.02
         self.stop_s = 0
         self.stop_count = 0
+        self.checkpoints = {}
         self.started = []
         self.lock = threading.Lock()
         self.reset()
@@ -189,7 +191,11 @@
                 self.info.started_ms,
                 self.read_clock_ms(),
                 tuple(
-                    ports.RunningTask(name, run, "")
+                    ports.RunningTask(
+                        name,
+                        run,
+                        self.checkpoints.get(name, ""),
+                    )
                     for name, run in self.running.items()
                 ),
                 tuple(self.ended),
--- a/testing/daemon/tasks/test_leaving.py
+++ b/testing/daemon/tasks/test_leaving.py
@@ -10,12 +10,13 @@
 
 from cyclamenshelf_core import errors
 from cyclamenshelf_core import taskprogress
+from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import ownership
 from cyclamenshelf_daemon.tasks import ports
 
 
-def drain(cell, worker):
-    worker.info = worker.info._replace(draining_ms=1_000)
+def drain(cell, worker, left_ms=1_000):
+    worker.info = worker.info._replace(draining_ms=left_ms)
     cell.list_worker(worker)
 
 
@@ -62,6 +63,60 @@
     assert len(cell.list_runs(job_id)) == 2
 
 
+def test_members_of_a_gang_on_a_draining_worker_are_stopped_together(cell):
+    # The others were stopped only once the first had ended, and broke.
+    cell.start_owner()
+    leasedworkers.wait_for_workers(cell)
+    worker, other = cell.workers
+    step = builders.make_step(2, 8, gang=True, checkpointable=True)
+    job_id = cell.submit(step._replace(expected_run_ms=60_000))
+    cell.wait_for_runs(job_id, 2)
+    conftest.wait_until(
+        lambda: all(
+            run.phase is ledgers.Phase.RUNNING
+            for run in list(cell.owners[0].ledger.runs.values())
+        ),
+        "both members run",
+    )
+    worker.ignore_stops = True
+    drain(cell, worker)
+    conftest.wait_until(lambda: not other.running, "a stop of the other member")
+    assert worker.running
+
+
+def test_checkpointable_task_that_ends_before_its_worker_leaves_goes_on(cell):
+    cell.start_owner()
+    leasedworkers.wait_for_workers(cell)
+    job_id = cell.submit(
+        builders.make_step(1, 8, checkpointable=True, run_ms=4_000),
+        builders.make_step(1, 8, checkpointable=True, run_ms=60_000),
+    )
+    cell.wait_for_runs(job_id, 2)
+    for worker in cell.workers:
+        drain(cell, worker, 5_000)
+    conftest.wait_until(
+        lambda: sum(len(worker.running) for worker in cell.workers) == 1,
+        "a stop",
+    )
+    (name,) = [name for worker in cell.workers for name in worker.running]
+    assert name == f"{job_id}.0.0.0"
+
+
+def test_time_until_a_draining_worker_leaves_runs_out(cell):
+    # The same entry was applied again and again, so the worker seemed to stay,
+    # and the task was lost with it.
+    cell.start_owner()
+    leasedworkers.wait_for_workers(cell)
+    step = builders.make_step(1, 8, checkpointable=True, run_ms=2_500)
+    job_id = cell.submit(step)
+    cell.wait_for_runs(job_id, 1)
+    worker = cell.find_worker(job_id)
+    drain(cell, worker, 2_600)
+    drained_at = time.monotonic()
+    conftest.wait_until(lambda: not worker.running, "a stop")
+    assert time.monotonic() - drained_at < 2.2
+
+
 def test_stop_of_an_earlier_incarnation_rules_out_no_late_start(cell):
     # The stop was acknowledged by an incarnation that has forgotten it since.
     worker, other = cell.workers
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -6,6 +6,7 @@
 
 from cyclamenshelf_platform import callers
 from cyclamenshelf_platform import operator
+from cyclamenshelf_platform import settings
 from cyclamenshelf_platform import store
 from cyclamenshelf_platform import workers
 import hypothesis
@@ -16,6 +17,7 @@
 from cyclamenshelf_core import errors
 from cyclamenshelf_core import jsontexts
 from cyclamenshelf_core import taskjobs
+from cyclamenshelf_core.stopping import losses
 from cyclamenshelf_daemon import httpclient
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import queues
@@ -227,6 +229,48 @@
         callers.decode_job(body)
 
 
+SETTINGS = """
+node_name=host
+limits.cpu_share=0.5
+limits.cpu_cores=2
+listen_addresses.front_addr=127.0.0.1:1
+listen_addresses.readiness_addr=127.0.0.1:2
+zone=z
+ip_address=127.0.0.1
+internal_port_range=3,9
+platform.address=127.0.0.1:4
+bounds.max_hold_ms=6000
+bounds.grace_period_s=6
+bounds.status_s=120
+"""
+STOP_SETTINGS = """
+bounds.checkpoint_interval_s=0.5
+bounds.restore_ms=600
+bounds.stop_timeout_ms=400
+"""
+
+
+@pytest.mark.parametrize(
+    ("text", "stop_terms"),
+    [
+        (SETTINGS, losses.DEFAULT_TERMS),
+        (
+            SETTINGS + STOP_SETTINGS,
+            losses.StopTerms(600, 500, 400),
+        ),
+    ],
+    ids=["absent", "given"],
+)
+def test_terms_of_workers_are_read_where_the_settings_have_them(
+    tmp_path, text, stop_terms
+):
+    # A constant restore of 100 ms made stops of wide gangs look cheap.
+    path = tmp_path / "settings"
+    path.write_text(text)
+    read = settings.read_settings(str(path))
+    assert read.stop_terms == stop_terms
+
+
 @pytest.mark.parametrize(
     "content",
     [
