Slow best-effort tasks down beside latency-sensitive ones

Cause: best-effort tasks never ran beside latency-sensitive ones, and were stopped where such a task found no other capacity; pace orders were not used, and the reported tail was not decoded.

Change: a closed loop in core sets the pace of the best-effort tasks on a worker from the highest ratio of tail latency to target: to the minimum above the target, halved near it, raised in small steps well below. Only if the minimum does not help within half of the longest allowed excess are they stopped. Best-effort tasks start beside latency-sensitive ones whose tail is known and low. Orders carry the epoch; one without an answer is sent again, and a new owner orders every pace anew. Without bounds.rate_interval_ms and bounds.disruption_ms in the settings nothing changes.

Tests: the loop by itself; owners with fake workers whose tail is above the target, that lose answers, and that change their owner halfway.

--- a/packages/core/src/cyclamenshelf_core/freecapacity.py
+++ b/packages/core/src/cyclamenshelf_core/freecapacity.py
@@ -44,8 +44,10 @@
             need, at the last search. No others can follow, as free capacity
             only shrinks until the cache is cleared.
         rack_slots: Cache of `count_slots_of_largest_rack`.
-        best_effort_workers: Workers that run best-effort tasks.
-        latency_sensitive_workers: Workers that run latency-sensitive tasks.
+        best_effort_workers: Workers that run best-effort tasks which can't be
+            slowed down.
+        latency_sensitive_workers: Workers that run latency-sensitive tasks
+            without room for best-effort ones beside them.
     """
 
     def __init__(
@@ -116,7 +118,8 @@
 ) -> bool:
     """Return whether a step would interfere with tasks on a worker.
 
-    Best-effort and latency-sensitive tasks run on different workers, because
+    Best-effort and latency-sensitive tasks run on different workers unless the
+    best-effort ones can be slowed down and the others have room beside them:
     the slowdown that they cause each other varies and changes within seconds.
     """
     if step.fills:
--- /dev/null
+++ b/packages/core/src/cyclamenshelf_core/pacing/__init__.py
@@ -0,0 +1,1 @@
+"""Slowing best-effort tasks down beside latency-sensitive ones."""
--- a/packages/core/src/cyclamenshelf_core/planstate.py
+++ b/packages/core/src/cyclamenshelf_core/planstate.py
@@ -93,7 +93,7 @@
     ) -> None:
         self.capacity = freecapacity.FreeCapacity(workers, counts)
         for allocation in held:
-            if allocation.fills:
+            if allocation.fills and not allocation.paced:
                 self.capacity.best_effort_workers.add(allocation.worker_id)
             if allocation.latency_sensitive:
                 self.capacity.latency_sensitive_workers.add(
--- a/packages/core/src/cyclamenshelf_core/victimcosts.py
+++ b/packages/core/src/cyclamenshelf_core/victimcosts.py
@@ -21,7 +21,8 @@
         stopping: Whether the resources will be released without a new stop.
         guaranteed: Whether the account's guarantee covers the job.
         fills: Whether the task is best-effort.
-        latency_sensitive: Whether the task has a tail latency target.
+        latency_sensitive: Whether best-effort tasks would push the task over
+            the target of its tail latency.
         expected_left_ms: Time after which the task is expected to end by
             itself, by its caller's estimate; None if unknown, as it is once
             the task has run longer than estimated.
@@ -29,6 +30,7 @@
             of no use.
         spared: Whether it is not to be stopped now, as it is expected to end
             sooner by itself.
+        paced: Whether it could be slowed down beside latency-sensitive tasks.
     """
 
     task: taskjobs.Task
@@ -45,6 +47,7 @@
     expected_left_ms: int | None = None
     stop_ms: int = 0
     spared: bool = False
+    paced: bool = False
 
 
 class Preemptor(NamedTuple):
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
@@ -72,6 +72,8 @@
         stored: Set whenever `stored_number` has increased.
         list_soon: Whether the next renewal is to be answered at once, as the
             list decides whether a lost run may start again.
+        max_wait_ms: How long it may wait for an end before it responds to a
+            renewal; None for the usual time.
         pause_ms: Pause between two renewals.
         paused_until_ms: Monotonic time at which the current pause ends.
         wake: Set to end the pause early.
@@ -108,6 +110,7 @@
         self.stored_number = 0
         self.stored = threading.Event()
         self.list_soon = False
+        self.max_wait_ms: int | None = None
         self.pause_ms = 0
         self.paused_until_ms = 0
         self.wake = threading.Event()
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -7,6 +7,7 @@
 
 from cyclamenshelf_core import clock as clocks
 from cyclamenshelf_core import progresspages
+from cyclamenshelf_core.pacing import control
 from cyclamenshelf_core.stopping import losses
 from cyclamenshelf_daemon import httpclient
 from cyclamenshelf_daemon import logs
@@ -55,6 +56,7 @@
         advise: See `ownerstate.OwnerContext`.
         max_row_bytes: Size of the largest row that the store accepts.
         stop_terms: See `ownerstate.OwnerContext`.
+        pacing_terms: See `ownerstate.OwnerContext`.
     """
 
     store: ports.Store
@@ -76,6 +78,7 @@
     advise: ports.Advise | None = None
     max_row_bytes: int = progresspages.DEFAULT_MAX_ROW_BYTES
     stop_terms: losses.StopTerms = losses.DEFAULT_TERMS
+    pacing_terms: control.PacingTerms | None = None
 
 
 class Host(NamedTuple):
@@ -121,6 +124,7 @@
         context.advise,
         context.max_row_bytes,
         context.stop_terms,
+        context.pacing_terms,
     )
     owner_thread = ownership.start_lease_thread(
         ownership.OwnershipContext(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -55,6 +55,9 @@
             as far as it is known.
         reason: Why it is being stopped.
         isolated: Whether its worker gets no other tasks meanwhile.
+        pace_percent: Pace that its worker has confirmed; None if unknown.
+        pace_pending: Whether an order of a pace is on its way.
+        pace_ordered: Whether its pace may be lower than that of a new run.
     """
 
     def __init__(
@@ -80,6 +83,9 @@
         self.resumed_ms = 0
         self.reason = ""
         self.isolated = isolated
+        self.pace_percent: int | None = None
+        self.pace_pending = False
+        self.pace_ordered = False
 
 
 class JobEntry:
@@ -159,6 +165,9 @@
         urgent_demand: Recent demand of priority 0.
         fleet: Workers by which it is decided whether work can ever run.
         stop_terms: How workers stop tasks and resume them.
+        best_effort_room: Workers whose latency-sensitive tasks leave room for
+            best-effort ones beside them; None if workers can't slow tasks
+            down.
     """
 
     def __init__(
@@ -184,6 +193,7 @@
         self.speeds = workerspeeds.SpeedEstimates()
         self.urgent_demand = urgentdemand.UrgentDemand()
         self.fleet = feasibility.Fleet()
+        self.best_effort_room: set[str] | None = None
 
 
 def allocate_run_number(ledger: Ledger) -> int:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/links.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/links.py
@@ -140,7 +140,7 @@
             context.tenure.epoch,
             granted_until_ms,
             0 if acknowledge_none else worker.stored_number,
-            0 if list_now else _RESPONSE_WAIT_MS,
+            0 if list_now else worker.max_wait_ms or _RESPONSE_WAIT_MS,
         )
 
     worker.stored.clear()
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/orders.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/orders.py
@@ -32,6 +32,8 @@
         on_not_sent: Called with a run whose start was never sent.
         on_stopped: Called with the run and whether the stop was acknowledged.
         on_fenced: Called with a worker that has accepted a newer epoch.
+        on_paced: Called with the run, its pace and whether that was
+            acknowledged.
     """
 
     workers: ports.WorkerClient
@@ -45,6 +47,7 @@
     on_not_sent: Callable[[ledgers.Run], None]
     on_stopped: Callable[[ledgers.Run, bool], None]
     on_fenced: Callable[[fleet.Worker], None]
+    on_paced: Callable[[ledgers.Run, int, bool], None]
 
 
 class StartArguments(NamedTuple):
@@ -87,6 +90,24 @@
     )
 
 
+def send_pace(
+    context: OrderContext,
+    worker: fleet.Worker,
+    run: ledgers.Run,
+    percent: int,
+) -> None:
+    """Send an order of a pace in a thread of the pool for stops."""
+    _submit(
+        context,
+        context.stop_pool,
+        "pace_failed",
+        _deliver_or_give_up_pace,
+        worker,
+        run,
+        percent,
+    )
+
+
 def send_orphan_stop(
     context: OrderContext, worker: fleet.Worker, name: str, number: int
 ) -> None:
@@ -189,6 +210,44 @@
     context.on_stopped(run, acknowledged)
 
 
+def _deliver_or_give_up_pace(
+    context: OrderContext,
+    worker: fleet.Worker,
+    run: ledgers.Run,
+    percent: int,
+) -> None:
+    """Send an order of a pace once; after an error, it is ordered again."""
+    if not supervision.run_logged(
+        "pace_failed", _deliver_pace, context, worker, run, percent
+    ):
+        context.on_paced(run, percent, False)
+
+
+def _deliver_pace(
+    context: OrderContext,
+    worker: fleet.Worker,
+    run: ledgers.Run,
+    percent: int,
+) -> None:
+    acknowledged = False
+    if ownership.may_renew_worker_leases(context.tenure, context.clock):
+        order = ports.PaceOrder(
+            worker.info,
+            taskjobs.format_task(run.task),
+            run.number,
+            percent,
+            context.tenure.epoch,
+        )
+        try:
+            refusal = context.workers.pace(order, _CALL_TIMEOUT_MS)
+        except ports.WorkerSilentError:
+            refusal = ports.Refusal.UNHEALTHY
+        if refusal is ports.Refusal.FENCED:
+            context.on_fenced(worker)
+        acknowledged = refusal is None
+    context.on_paced(run, percent, acknowledged)
+
+
 def _deliver_orphan_stop(
     context: OrderContext, worker: fleet.Worker, name: str, number: int
 ) -> None:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -33,6 +33,7 @@
 from cyclamenshelf_daemon.tasks import suspension
 from cyclamenshelf_daemon.tasks import waitreports
 from cyclamenshelf_daemon.tasks import writer
+from cyclamenshelf_daemon.tasks.pacing import pacer
 
 _TICK_MS = 200
 # How long a call to the store waits for changes of jobs and workers.
@@ -98,6 +99,7 @@
         on_not_sent=make_poster(ownerruns.handle_unsent_start),
         on_stopped=make_poster(ownerruns.handle_stop_response),
         on_fenced=handle_fencing,
+        on_paced=make_poster(pacer.handle_response),
     )
 
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -7,6 +7,7 @@
 
 from cyclamenshelf_core import clock as clocks
 from cyclamenshelf_core import progresspages
+from cyclamenshelf_core.pacing import control
 from cyclamenshelf_core.stopping import losses
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import metrics
@@ -52,6 +53,7 @@
             recommendation service.
         max_row_bytes: Size of the largest row that the store accepts.
         stop_terms: How workers stop tasks and resume them.
+        pacing_terms: How workers slow tasks down; None if they can't.
     """
 
     store: ports.Store
@@ -67,6 +69,7 @@
     advise: ports.Advise | None = None
     max_row_bytes: int = progresspages.DEFAULT_MAX_ROW_BYTES
     stop_terms: losses.StopTerms = losses.DEFAULT_TERMS
+    pacing_terms: control.PacingTerms | None = None
 
 
 class Owner:
@@ -95,6 +98,8 @@
         lone_cancellations: Cancellations of jobs that are not stored: version
             of the row and Unix time of the request, by job.
         sightings: When jobs were last known to run.
+        paces: Pace of the best-effort tasks by worker, where they run beside
+            latency-sensitive ones.
         report_due_ms: Monotonic time of the next report on pending jobs.
         pending_stops: Number of stops that are on their way.
         links: Context of the workers' renewal threads; set at the start.
@@ -105,6 +110,8 @@
         self.context = context
         self.tenure = tenure
         self.ledger = ledgers.Ledger(tenure.epoch, context.stop_terms)
+        if context.pacing_terms is not None:
+            self.ledger.best_effort_room = set()
         self.workers: dict[str, fleet.Worker] = {}
         self.calls: queue.SimpleQueue[Callable[[], None]] = queue.SimpleQueue()
         self.batches: queue.SimpleQueue = queue.SimpleQueue()
@@ -115,6 +122,7 @@
         self.decision = pendingreasons.NO_DECISION
         self.lone_cancellations: dict[str, tuple[int, int]] = {}
         self.sightings = pendingjobs.Sightings()
+        self.paces: dict[str, control.Pace] = {}
         self.report_due_ms = 0
         self.unconfirmed_workers: set[str] = set()
         self.unconfirmed_until_ms = (
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
@@ -13,6 +13,7 @@
 from cyclamenshelf_daemon.tasks import planning
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import reports
+from cyclamenshelf_daemon.tasks.pacing import pacer
 
 # How often workers that are no longer listed are checked for removal.
 _SYNC_INTERVAL_MS = 400
@@ -308,6 +309,7 @@
             owner.orders, worker, name, number
         ),
     )
+    pacer.apply_report(owner, worker, response.running)
     worker.has_listed_all = worker.has_listed_all or response.complete
     if worker.has_listed_all and worker.info.id in owner.unconfirmed_workers:
         owner.unconfirmed_workers.discard(worker.info.id)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -160,7 +160,7 @@
     for group, runs in ledger.by_group.items():
         job = ledger.jobs[group.job_id].job
         step = job.steps[group.step]
-        terms = ledger.stop_terms
+        terms, room = ledger.stop_terms, ledger.best_effort_room
         for run in runs.values():
             elapsed_ms = max(0, now_ms - run.since_ms)
             left_ms = _estimate_left_ms(
@@ -180,10 +180,12 @@
                     run.phase in (ledgers.Phase.STOPPING, ledgers.Phase.LOST),
                     job.id in guaranteed_jobs,
                     step.fills,
-                    step.tail_target_ms > 0,
+                    step.tail_target_ms > 0
+                    and run.worker_id not in (room or ()),
                     left_ms,
                     terms.stop_ms,
                     losses.ends_before_stop(left_ms, terms),
+                    room is not None,
                 )
             )
     return held
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
@@ -112,11 +112,17 @@
 
 
 class RunningTask(NamedTuple):
-    """A task run that is in progress on a worker."""
+    """A task run that is in progress on a worker.
+
+    Attributes:
+        reading: Recent tail latency in ms of a latency-sensitive task, and
+            processor use of any other; None if the worker reports none.
+    """
 
     name: str
     run: int
     checkpoint: str
+    reading: float | None = None
 
 
 class EndedTask(NamedTuple):
@@ -186,6 +192,20 @@
     epoch: int
 
 
+class PaceOrder(NamedTuple):
+    """An order to let a run work only part of the time.
+
+    Attributes:
+        percent: Part of the time, from 0 to 100; 100 at the start of a run.
+    """
+
+    worker: WorkerInfo
+    name: str
+    run: int
+    percent: int
+    epoch: int
+
+
 class Renewal(NamedTuple):
     """A renewal of a worker's lease, which also requests its running tasks.
 
@@ -254,8 +274,11 @@
             argument: timeout in ms. Raises WorkerSilentError.
         stop: Sends a stop order; returns None if the worker accepted it.
             Takes and raises the same as `start`.
+        pace: Sends an order of a pace; returns None if the worker accepted
+            it. Takes and raises the same as `start`.
     """
 
     connect: Callable[[WorkerInfo], WorkerConnection]
     start: Callable[[StartOrder, int], Refusal | None]
     stop: Callable[[StopOrder, int], Refusal | None]
+    pace: Callable[[PaceOrder, int], Refusal | None]
--- a/testing/daemon/tasks/conftest.py
+++ b/testing/daemon/tasks/conftest.py
@@ -46,6 +46,7 @@
         self.fake_store = fakestore.FakeStore()
         self.lists = LISTS
         self.advise = None
+        self.pacing_terms = None
         self.registry = metrics.Metrics()
         self.infos_by_value = {}
         self.workers = [
@@ -118,6 +119,7 @@
             60_000,
             self.registry,
             self.advise,
+            pacing_terms=self.pacing_terms,
         )
         self.tenures.append(tenure)
         self.owners.append(owners.start_owner(context, tenure))
--- a/testing/daemon/tasks/fakefleet.py
+++ b/testing/daemon/tasks/fakefleet.py
@@ -37,6 +37,10 @@
         poll_s: How long a response to a renewal waits for ends.
         stop_s: How long a response to a stop takes.
         stop_count: Number of stops that it was sent.
+        paces: Confirmed paces in percent, by task name.
+        lose_paces: How many of the next orders of a pace are carried out,
+            but their response is lost.
+        readings: What the list of running tasks reports, by task name.
         checkpoints: Checkpoints that this list shows, by task name.
         started: Names, numbers and checkpoints of all started runs, in order.
         highest_closed_runs: Highest run number that has ended or was stopped,
@@ -69,6 +73,9 @@
         self.poll_s = 0.02
         self.stop_s = 0
         self.stop_count = 0
+        self.paces = {}
+        self.lose_paces = 0
+        self.readings = {}
         self.checkpoints = {}
         self.started = []
         self.lock = threading.Lock()
@@ -167,6 +174,18 @@
             )
             return None
 
+    def pace(self, order, timeout_ms):
+        if self.unresponsive:
+            raise ports.WorkerSilentError("worker unresponsive")
+        with self.lock:
+            if refusal := self._check_epoch(order.epoch):
+                return refusal
+            self.paces[order.name] = order.percent
+        if self.lose_paces:
+            self.lose_paces -= 1
+            raise ports.WorkerSilentError("response lost")
+        return None
+
     def renew(self, make_renewal):
         if self.unresponsive:
             threading.Event().wait(0.02)
@@ -195,6 +214,7 @@
                         name,
                         run,
                         self.checkpoints.get(name, ""),
+                        self.readings.get(name),
                     )
                     for name, run in self.running.items()
                 ),
@@ -219,4 +239,7 @@
         stop=lambda order, timeout_ms: find(order.worker.id).stop(
             order, timeout_ms
         ),
+        pace=lambda order, timeout_ms: find(order.worker.id).pace(
+            order, timeout_ms
+        ),
     )
--- a/testing/daemon/tasks/simulatedfleet.py
+++ b/testing/daemon/tasks/simulatedfleet.py
@@ -424,4 +424,7 @@
             lambda worker, respond: respond((worker.stop(order),)),
             timeout_ms,
         ),
+        lambda order, timeout_ms: call(
+            order.worker, lambda worker, respond: respond((None,)), timeout_ms
+        ),
     )
--- a/testing/daemon/tasks/test_restarts.py
+++ b/testing/daemon/tasks/test_restarts.py
@@ -217,6 +217,7 @@
                 lambda info: ports.WorkerConnection(renew, lambda: None),
                 restarted.start,
                 restarted.stop,
+                restarted.pace,
             ),
             cell.tenures[-1],
             clocks.make_system_clock(),
--- a/testing/platform/standin.py
+++ b/testing/platform/standin.py
@@ -212,6 +212,7 @@
         endpoint = {
             "/api/run-start": self.start,
             "/api/run-stop": self.stop,
+            "/api/pace": self.pace,
             "/api/hold": self.hold,
         }[request.path]
         return endpoint(body)
@@ -235,6 +236,16 @@
         )
         return encode_refusal(self.worker.stop(order, 0))
 
+    def pace(self, body):
+        order = ports.PaceOrder(
+            self.worker.info,
+            body["task"],
+            body["run"],
+            body["percent"],
+            body["fencing_token"],
+        )
+        return encode_refusal(self.worker.pace(order, 0))
+
     def hold(self, body):
         renewal = ports.Renewal(
             self.worker.info,
@@ -252,7 +263,7 @@
                 "clock_ms": response.clock_ms,
                 "born": response.started_ms,
                 "running": [
-                    [run.name, run.run, run.checkpoint, 100]
+                    [run.name, run.run, run.checkpoint, 100, run.reading]
                     for run in response.running
                 ],
                 "finished": [
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -17,6 +17,7 @@
 from cyclamenshelf_core import errors
 from cyclamenshelf_core import jsontexts
 from cyclamenshelf_core import taskjobs
+from cyclamenshelf_core.pacing import control
 from cyclamenshelf_core.stopping import losses
 from cyclamenshelf_daemon import httpclient
 from cyclamenshelf_daemon.tasks import ports
@@ -229,6 +230,18 @@
         callers.decode_job(body)
 
 
+def test_running_task_is_decoded_with_and_without_its_reading():
+    # Workers of some deployments report four fields of each run.
+    response = workers._decode_renewal_response(
+        {"clock_ms": 1, "running": [["a", 2, "c", 100, 41], ["b", 1, "", 0]]},
+        decode_worker(json.dumps(ENTRY).encode()),
+    )
+    assert response.running == (
+        ports.RunningTask("a", 2, "c", 41.0),
+        ports.RunningTask("b", 1, "", None),
+    )
+
+
 SETTINGS = """
 node_name=host
 limits.cpu_share=0.5
@@ -247,28 +260,31 @@
 bounds.checkpoint_interval_s=0.5
 bounds.restore_ms=600
 bounds.stop_timeout_ms=400
+bounds.rate_interval_ms=100
+bounds.disruption_ms=4500
 """
 
 
 @pytest.mark.parametrize(
-    ("text", "stop_terms"),
+    ("text", "stop_terms", "pacing_terms"),
     [
-        (SETTINGS, losses.DEFAULT_TERMS),
+        (SETTINGS, losses.DEFAULT_TERMS, None),
         (
             SETTINGS + STOP_SETTINGS,
             losses.StopTerms(600, 500, 400),
+            control.PacingTerms(100, 4_500),
         ),
     ],
     ids=["absent", "given"],
 )
 def test_terms_of_workers_are_read_where_the_settings_have_them(
-    tmp_path, text, stop_terms
+    tmp_path, text, stop_terms, pacing_terms
 ):
     # A constant restore of 100 ms made stops of wide gangs look cheap.
     path = tmp_path / "settings"
     path.write_text(text)
     read = settings.read_settings(str(path))
-    assert read.stop_terms == stop_terms
+    assert (read.stop_terms, read.pacing_terms) == (stop_terms, pacing_terms)
 
 
 @pytest.mark.parametrize(
--- a/testing/platform/test_orders.py
+++ b/testing/platform/test_orders.py
@@ -43,6 +43,19 @@
     assert client.start(make_start_order(worker_server, "good"), 5_000) is None
 
 
+def test_order_of_a_pace_is_refused_once_a_newer_owner_has_called(
+    worker_server, pool
+):
+    # An earlier owner would have let a best-effort task work on.
+    info = make_start_order(worker_server, "").worker
+    client = workers.make_workers(pool)
+    order = ports.PaceOrder(info, "j.0.0.0", 1, 30, 2)
+    assert client.pace(order, 5_000) is None
+    earlier = order._replace(percent=100, epoch=1)
+    assert client.pace(earlier, 5_000) is ports.Refusal.FENCED
+    assert worker_server.worker.paces == {"j.0.0.0": 30}
+
+
 def test_advice_request_names_step_and_returns_tickets(adviser, pool):
     advise = workers.make_advise(pool, adviser.url)
     response = advise("j.0.1", ("i-1", "i-2"), 5_000)
