Count a gang in full for each task that it makes room for

Cause: the cost of a stopped gang was divided by the number of the group's tasks without room, as they use what it frees on other workers. Often they can't: these workers are on other racks, or other stops were cheaper there. More gangs were stopped, also ones without checkpoints.

Change: the cost is the whole gang's again, but still counted once on a worker where several members run.

--- a/packages/core/src/cyclamenshelf_core/planpreemption.py
+++ b/packages/core/src/cyclamenshelf_core/planpreemption.py
@@ -42,7 +42,7 @@
     def get_cost(worker_id: str) -> float:
         soon_free = state.get_soon_free(worker_id)
         return state.victims.get_cost(
-            worker_id, soon_free, step.need, preemptor, len(entry.indexes)
+            worker_id, soon_free, step.need, preemptor
         )
 
     slots = freecapacity.list_slots(
--- a/packages/core/src/cyclamenshelf_core/victimcosts.py
+++ b/packages/core/src/cyclamenshelf_core/victimcosts.py
@@ -113,7 +113,6 @@
         available: taskjobs.Resources,
         need: taskjobs.Resources,
         preemptor: Preemptor,
-        task_count: int = 1,
     ) -> float:
         """Return the cost of the stops that make one task fit on a worker.
 
@@ -122,14 +121,12 @@
             available: Resources that are free there or being released.
             need: Resources that the task needs.
             preemptor: Priority and guarantee of the task's group.
-            task_count: Number of the group's tasks without room, which share
-                the cost of a stopped gang.
         """
         cached = self._costs.setdefault(worker_id, {})
-        key = (available, need, preemptor, task_count)
+        key = (available, need, preemptor)
         if key not in cached:
             cached[key] = _estimate_cost(
-                self, worker_id, available, need, preemptor, task_count
+                self, worker_id, available, need, preemptor
             )
         return cached[key]
 
@@ -166,7 +163,6 @@
     available: taskjobs.Resources,
     need: taskjobs.Resources,
     preemptor: Preemptor,
-    task_count: int,
 ) -> float:
     cost = 0.0
     gangs: set[taskjobs.Group] = set()
@@ -180,9 +176,7 @@
             continue
         if held.gang:
             gangs.add(held.task.group)
-        members = _count_members(victims, held)
-        lost_work = _estimate_lost_work(victims, held)
-        cost += 1 + lost_work / min(members, task_count)
+        cost += 1 + _estimate_lost_work(victims, held)
     return cost
 
 
@@ -251,15 +245,12 @@
     return cores + held.need.accelerators * _CORES_PER_ACCELERATOR
 
 
-def _count_members(victims: VictimIndex, held: Allocation) -> int:
-    return len(victims.by_group[held.task.group]) if held.gang else 1
-
-
 def _estimate_lost_work(victims: VictimIndex, held: Allocation) -> float:
     """Return the core-milliseconds that a stop loses, gang included.
 
     They are those of lost work, and those for which nothing works while the
     stop is carried out: half of its longest time on average.
     """
+    member_count = len(victims.by_group[held.task.group]) if held.gang else 1
     lost_ms = held.lost_work_ms + held.stop_ms / 2
-    return lost_ms * _count_cores(held) * _count_members(victims, held)
+    return lost_ms * _count_cores(held) * member_count
--- a/packages/core/src/cyclamenshelf_core/victimsearch.py
+++ b/packages/core/src/cyclamenshelf_core/victimsearch.py
@@ -55,7 +55,6 @@
     Attributes:
         available: Resources by worker that the group can still use.
         open_slots: Number of tasks that may still be placed, by worker.
-        missing: Number of tasks that have no room yet.
     """
 
     def __init__(
@@ -73,7 +72,6 @@
         self.open_slots = {
             name: candidate.slots for name, candidate in candidates.items()
         }
-        self.missing = request.tasks
 
 
 def choose_victims(
@@ -95,7 +93,8 @@
     stops: list[victimcosts.Allocation] = []
     queue = [_make_entry(search, name) for name in candidates]
     heapq.heapify(queue)
-    while search.missing and queue:
+    missing = request.tasks
+    while missing and queue:
         key, name = heapq.heappop(queue)
         if not search.open_slots[name]:
             continue
@@ -105,8 +104,8 @@
             heapq.heappush(queue, current)
             continue
         stops += _place_task(search, name, queue)
-        search.missing -= 1
-        if search.missing and search.open_slots[name]:
+        missing -= 1
+        if search.open_slots[name]:
             heapq.heappush(queue, _make_entry(search, name))
     return stops
 
@@ -115,11 +114,7 @@
     """Return the entry of a worker in the queue, the best worker first."""
     candidate, request = search.candidates[name], search.request
     cost = search.victims.get_cost(
-        name,
-        search.available[name],
-        request.need,
-        request.preemptor,
-        _round_down(search.missing),
+        name, search.available[name], request.need, request.preemptor
     )
     if candidate.slow:
         cost *= _SLOW_COST_FACTOR
@@ -136,14 +131,6 @@
     )
 
 
-def _round_down(count: int) -> int:
-    """Return the power of two at or below a count.
-
-    Costs that depend on it seldom change during a search.
-    """
-    return 1 << (count.bit_length() - 1)
-
-
 def _place_task(
     search: _Search, name: str, queue: list[tuple[tuple, str]]
 ) -> list[victimcosts.Allocation]:
