Drop the interval of checkpoints from the terms of stops

No decision uses it: a stop saves the state at its time, so none is timed by checkpoints (docs/design/preemption-losses.md).

--- a/packages/core/src/cyclamenshelf_core/stopping/losses.py
+++ b/packages/core/src/cyclamenshelf_core/stopping/losses.py
@@ -10,21 +10,18 @@
 
     Attributes:
         restore_ms: Time that a start from a checkpoint needs.
-        checkpoint_interval_ms: Work after which a checkpointable task saves
-            its progress. A stop also saves it.
         stop_ms: Longest time that a stop takes, during which the task still
             uses its resources.
     """
 
     restore_ms: int
-    checkpoint_interval_ms: int
     stop_ms: int
 
 
 # Time until a stop arrives, and until the owner acts again.
 _STOP_DELAY_MS = 500
 
-DEFAULT_TERMS = StopTerms(250, 1_000, 500)
+DEFAULT_TERMS = StopTerms(250, 500)
 
 
 def estimate_lost_ms(
@@ -32,9 +29,9 @@
 ) -> int:
     """Return the run time that each task of a step loses by a stop now.
 
-    A checkpointable task has to be restored. The stops of a gang's members
-    take different times. It works no longer from the first one on, and what
-    its members did after that is not saved.
+    A checkpointable task saves its state at the stop and has to be restored.
+    The stops of a gang's members take different times. It works no longer from
+    the first one on, and what its members did after that is not saved.
 
     Args:
         step: The step of the task.
