--- a/packages/core/src/cyclamenshelf_core/victimcosts.py
+++ b/packages/core/src/cyclamenshelf_core/victimcosts.py
@@ -21,7 +21,16 @@
         stopping: Whether the resources will be released without a new stop.
         guaranteed: Whether the account's guarantee covers the job.
         fills: Whether the task is best-effort.
-        latency_sensitive: Whether the task has a tail latency target.
+        latency_sensitive: Whether best-effort tasks would push the task over
+            the target of its tail latency.
+        expected_left_ms: Time after which the task is expected to end by
+            itself, by its caller's estimate; None if unknown, as it is once
+            the task has run longer than estimated.
+        stop_ms: Time that a stop may take, during which its resources are
+            of no use.
+        spared: Whether it is not to be stopped now, as it is expected to end
+            sooner by itself.
+        paced: Whether it could be slowed down beside latency-sensitive tasks.
     """
 
     task: taskjobs.Task
@@ -35,6 +44,10 @@
     guaranteed: bool
     fills: bool = False
     latency_sensitive: bool = False
+    expected_left_ms: int | None = None
+    stop_ms: int = 0
+    spared: bool = False
+    paced: bool = False
 
 
 class Preemptor(NamedTuple):
@@ -152,12 +165,18 @@
     preemptor: Preemptor,
 ) -> float:
     cost = 0.0
+    gangs: set[taskjobs.Group] = set()
     for held in victims.list_in_stop_order(worker_id):
         if taskjobs.count_fitting(available, need) > 0:
             break
-        if _is_preemptible(victims, held, preemptor):
-            available = taskjobs.add(available, held.need)
-            cost += 1 + _estimate_lost_work(victims, held)
+        if not _is_preemptible(victims, held, preemptor):
+            continue
+        available = taskjobs.add(available, held.need)
+        if held.task.group in gangs:
+            continue
+        if held.gang:
+            gangs.add(held.task.group)
+        cost += 1 + _estimate_lost_work(victims, held)
     return cost
 
 
@@ -198,7 +217,9 @@
 def _is_preemptible(
     victims: VictimIndex, held: Allocation, preemptor: Preemptor
 ) -> bool:
-    if held.long_running or held.stopping or held.task in victims.chosen:
+    if held.long_running or held.stopping or held.spared:
+        return False
+    if held.task in victims.chosen:
         return False
     if held.priority != preemptor.priority:
         return held.priority > preemptor.priority
@@ -216,12 +237,20 @@
 
 def compute_lost_core_ms(held: Allocation) -> float:
     """Return the core-milliseconds of its own work that a stop loses."""
+    return held.lost_work_ms * _count_cores(held)
+
+
+def _count_cores(held: Allocation) -> float:
     cores = held.need.cpu_millis / 1000
-    cores += held.need.accelerators * _CORES_PER_ACCELERATOR
-    return held.lost_work_ms * cores
+    return cores + held.need.accelerators * _CORES_PER_ACCELERATOR
 
 
 def _estimate_lost_work(victims: VictimIndex, held: Allocation) -> float:
-    """Return the core-milliseconds of work that a stop loses, gang included."""
+    """Return the core-milliseconds that a stop loses, gang included.
+
+    They are those of lost work, and those for which nothing works while the
+    stop is carried out: half of its longest time on average.
+    """
     member_count = len(victims.by_group[held.task.group]) if held.gang else 1
-    return compute_lost_core_ms(held) * member_count
+    lost_ms = held.lost_work_ms + held.stop_ms / 2
+    return lost_ms * _count_cores(held) * member_count
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
@@ -73,6 +73,8 @@
         stored: Set whenever `stored_number` has increased.
         list_soon: Whether the next renewal is to be answered at once, as the
             list decides whether a lost run may start again.
+        max_wait_ms: How long it may wait for an end before it responds to a
+            renewal; None for the usual time.
         pause_ms: Pause between two renewals.
         paused_until_ms: Monotonic time at which the current pause ends.
         wake: Set to end the pause early.
@@ -83,6 +85,8 @@
             that, its capacity and labels are those of the earlier one.
         evacuated: Whether operators have asked to empty its data centre.
         cold_until_ms: Monotonic time until which it is slow after its start.
+        leaves_ms: Monotonic time until which it certainly stays while it
+            drains.
         orphans: Resources of runs on it that the owner does not need.
         failed_jobs: Jobs whose tasks failed on it since its last success.
         quarantined_until_ms: Monotonic time at which its quarantine ends.
@@ -109,6 +113,7 @@
         self.stored_number = 0
         self.stored = threading.Event()
         self.list_soon = False
+        self.max_wait_ms: int | None = None
         self.pause_ms = 0
         self.paused_until_ms = 0
         self.wake = threading.Event()
@@ -117,6 +122,7 @@
         self.described = True
         self.evacuated = False
         self.cold_until_ms = 0
+        self.leaves_ms = 0
         self.orphans: dict[RunKey, taskjobs.Resources] = {}
         self.failed_jobs: list[str] = []
         self.quarantined_until_ms = 0
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -8,6 +8,8 @@
 from cyclamenshelf_core import clock as clocks
 from cyclamenshelf_core import progresspages
 from cyclamenshelf_core.failover import candidates
+from cyclamenshelf_core.pacing import control
+from cyclamenshelf_core.stopping import losses
 from cyclamenshelf_daemon import httpclient
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import metrics
@@ -62,6 +64,8 @@
         max_row_bytes: Size of the largest row that the store accepts.
         evacuation_ms: Time after the request to empty a data centre from which
             no task may be started there; None if no limit is set.
+        stop_terms: See `ownerstate.OwnerContext`.
+        pacing_terms: See `ownerstate.OwnerContext`.
     """
 
     store: ports.Store
@@ -84,6 +88,8 @@
     advise: ports.Advise | None = None
     max_row_bytes: int = progresspages.DEFAULT_MAX_ROW_BYTES
     evacuation_ms: int | None = None
+    stop_terms: losses.StopTerms = losses.DEFAULT_TERMS
+    pacing_terms: control.PacingTerms | None = None
 
 
 class Host(NamedTuple):
@@ -136,6 +142,8 @@
         context.registry,
         context.advise,
         context.max_row_bytes,
+        context.stop_terms,
+        context.pacing_terms,
     )
     members = memberships.Members(
         memberships.Member(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
@@ -204,8 +204,7 @@
         run.acked_ms = now_ms
     run.listed = True
     run.at_work = running.percent >= _AT_WORK_PERCENT
-    if running.checkpoint != run.checkpoint:
-        run.checkpoint = running.checkpoint
+    run.checkpoint = max(run.checkpoint, running.checkpoint)
 
 
 def _record_orphan(
