Wait for tasks that end soon rather than stop others

Cause: a group of priority 0 that found no room stopped tasks at once, however soon others would end and however much it had left until its objective.

Change: the planner forecasts from the callers' estimates when the group fits (overload.forecast) and compares what callers lose by a wait and by stops (overload.stopdecision). A group that a guarantee covers waits for half a second at most; a job of no use to its caller stops nothing.

--- a/packages/core/src/cyclamenshelf_core/overload/callercost.py
+++ b/packages/core/src/cyclamenshelf_core/overload/callercost.py
@@ -92,6 +92,25 @@
     )
 
 
+def make_running_demand(
+    job: taskjobs.TaskJob, group: taskjobs.Group, elapsed_ms: int, now_ms: int
+) -> Demand:
+    """Return what the caller of a running group expects, relative to now.
+
+    Args:
+        job: The job.
+        group: A step of an occurrence of it.
+        elapsed_ms: How long its tasks have run.
+        now_ms: Unix time.
+    """
+    demand = make_demand(job, group)
+    return demand._replace(
+        objective_ms=demand.objective_ms - now_ms,
+        last_use_ms=demand.last_use_ms - now_ms,
+        remaining_ms=max(0, demand.remaining_ms - elapsed_ms),
+    )
+
+
 def compute_objective_length_ms(job: taskjobs.TaskJob) -> int:
     """Return the time that the objective allows from when a job is due."""
     critical_path_ms = taskjobs.estimate_critical_path_ms(job)
--- /dev/null
+++ b/packages/core/src/cyclamenshelf_core/overload/stopdecision.py
@@ -0,0 +1,115 @@
+"""Whether a group waits for tasks that end by themselves or stops others.
+
+Both are compared by what the callers lose: the caller of the group by its
+delay, those of the stopped tasks by work that is done again and by the delay
+that follows from it.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import enum
+
+from cyclamenshelf_core import taskjobs
+from cyclamenshelf_core import victimcosts
+from cyclamenshelf_core.overload import callercost
+
+# Callers' estimates of run times are poor, so capacity may come free this much
+# later than they say.
+_FORECAST_MARGIN = 2
+# Time from the decision to stop tasks to the start on what they release. It
+# must be left when a forecast turns out wrong.
+STOP_MS = 500
+# A group that a guarantee covers has a right to its capacity, whatever its
+# slack.
+_MAX_GUARANTEED_WAIT_MS = 500
+
+
+class Choice(enum.StrEnum):
+    """Why a group waits for capacity that comes free, or why not."""
+
+    STOP = "stop"
+    # Enough is expected to come free before the group would be late.
+    IN_TIME = "in_time"
+    # The callers of the tasks that would be stopped lose more.
+    CHEAPER = "cheaper"
+
+
+def may_wait(
+    demand: callercost.Demand,
+    free_after_ms: int,
+    guaranteed: bool,
+    waited_ms: int,
+) -> bool:
+    """Return whether a wait costs the caller of a group nothing.
+
+    Args:
+        demand: What the caller expects, relative to now.
+        free_after_ms: When enough is expected to come free.
+        guaranteed: Whether the account's guarantee covers the group.
+        waited_ms: How long the group has waited for room.
+    """
+    wait_ms = _FORECAST_MARGIN * free_after_ms
+    if guaranteed and waited_ms + wait_ms > _MAX_GUARANTEED_WAIT_MS:
+        return False
+    return callercost.compute_delay_cost(demand, wait_ms + STOP_MS) == 0
+
+
+def compute_wait_loss(
+    demand: callercost.Demand, free_after_ms: int | None
+) -> float:
+    """Return what the caller of a group loses if it waits.
+
+    Args:
+        demand: What the caller expects, relative to now.
+        free_after_ms: When enough is expected to come free; None if that is
+            not known.
+    """
+    if free_after_ms is None:
+        wait_ms = demand.last_use_ms
+    else:
+        wait_ms = _FORECAST_MARGIN * free_after_ms
+    return callercost.compute_delay_cost(demand, wait_ms)
+
+
+def compute_stop_loss(
+    demand: callercost.Demand,
+    victims: Iterable[victimcosts.Allocation],
+    running: Mapping[taskjobs.Group, callercost.Demand],
+) -> float:
+    """Return what all callers lose if tasks are stopped for a group.
+
+    Args:
+        demand: What the caller of the group expects, relative to now.
+        victims: The tasks that would be stopped.
+        running: What the callers of running tasks expect, relative to now.
+    """
+    by_group: dict[taskjobs.Group, list[victimcosts.Allocation]] = {}
+    for held in victims:
+        by_group.setdefault(held.task.group, []).append(held)
+    # The room of the stopped tasks is in use until the group has ended.
+    requeue_ms = STOP_MS + demand.remaining_ms
+    return callercost.compute_delay_cost(demand, STOP_MS) + sum(
+        _compute_victim_loss(running[group], stopped, requeue_ms)
+        for group, stopped in by_group.items()
+        if group in running
+    )
+
+
+def _compute_victim_loss(
+    demand: callercost.Demand,
+    stopped: list[victimcosts.Allocation],
+    requeue_ms: int,
+) -> float:
+    """Return what the caller of stopped tasks loses.
+
+    Work that is done again takes room from callers like this one, so it costs
+    the same share of this caller's weight.
+    """
+    lost_core_ms = sum(map(victimcosts.compute_lost_core_ms, stopped))
+    repeated = min(1.0, lost_core_ms / max(1.0, demand.work_core_ms))
+    delay_ms = requeue_ms + max(held.lost_work_ms for held in stopped)
+    return (
+        callercost.compute_weight(demand.priority) * repeated
+        + callercost.compute_delay_cost(demand, delay_ms)
+        - callercost.compute_delay_cost(demand, 0)
+    )
--- a/packages/core/src/cyclamenshelf_core/planpreemption.py
+++ b/packages/core/src/cyclamenshelf_core/planpreemption.py
@@ -1,4 +1,10 @@
-"""Preemption of tasks for a group that found no free capacity."""
+"""Preemption of tasks for a group that found no free capacity.
+
+Tasks are only stopped if callers lose less by it than if the group waits for
+others to end; see `overload.stopdecision`.
+"""
+
+from typing import NamedTuple
 
 from cyclamenshelf_core import freecapacity
 from cyclamenshelf_core import plansearch
@@ -6,6 +12,23 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import victimcosts
 from cyclamenshelf_core import victimsearch
+from cyclamenshelf_core.overload import callercost
+from cyclamenshelf_core.overload import stopdecision
+
+# Times for which it is asked whether enough comes free by then.
+_FORECAST_TIMES_MS = (250, 500, 1_000, 2_000, 4_000, 8_000)
+
+
+class _Forecast(NamedTuple):
+    """When a group is expected to fit, and where.
+
+    Attributes:
+        free_after_ms: Time from now; None if it is not known.
+        workers: A worker for each task that fits then.
+    """
+
+    free_after_ms: int | None
+    workers: list[str]
 
 
 def preempt_and_reserve(
@@ -16,17 +39,78 @@
     """Reserve capacity for a group, preempting other tasks if necessary."""
     placed = plansearch.find_soon_free(state, entry, allow_remote)
     if len(placed) < len(entry.indexes):
-        _choose_victims(state, entry, allow_remote)
-        placed = plansearch.find_soon_free(state, entry, allow_remote)
+        placed = _preempt_or_wait(state, entry, allow_remote)
     planstate.reserve(state, entry, placed)
 
 
+def _preempt_or_wait(
+    state: planstate.PlanningState,
+    entry: planstate.WaitingGroup,
+    allow_remote: bool,
+) -> list[str]:
+    """Stop tasks for a group unless callers lose less if it waits.
+
+    Returns:
+        A worker for each task for which capacity is to be reserved.
+    """
+    demand = callercost.make_relative_demand(
+        entry.job, entry.group, len(entry.indexes), entry.slack_ms
+    )
+    expected = _forecast_room(state, entry, allow_remote, demand)
+    after_ms = expected.free_after_ms
+    if after_ms is not None and stopdecision.may_wait(
+        demand, after_ms, entry.guaranteed, entry.waited_ms
+    ):
+        return _wait(state, entry, expected, stopdecision.Choice.IN_TIME)
+    victims = _choose_victims(state, entry, allow_remote)
+    if victims and not entry.guaranteed:
+        stop_loss = stopdecision.compute_stop_loss(
+            demand, victims, state.running
+        )
+        if stop_loss > stopdecision.compute_wait_loss(demand, after_ms):
+            state.victims.unmark(victims)
+            return _wait(state, entry, expected, stopdecision.Choice.CHEAPER)
+    state.stops += [planstate.Stop(held.task, entry.group) for held in victims]
+    return plansearch.find_soon_free(state, entry, allow_remote)
+
+
+def _wait(
+    state: planstate.PlanningState,
+    entry: planstate.WaitingGroup,
+    expected: _Forecast,
+    choice: stopdecision.Choice,
+) -> list[str]:
+    state.waits.append(
+        planstate.Wait(entry.group, choice, expected.free_after_ms)
+    )
+    return expected.workers
+
+
+def _forecast_room(
+    state: planstate.PlanningState,
+    entry: planstate.WaitingGroup,
+    allow_remote: bool,
+    demand: callercost.Demand,
+) -> _Forecast:
+    """Return when all tasks of a group fit, as long as they are of use."""
+    workers: list[str] = []
+    for time_ms in _FORECAST_TIMES_MS:
+        workers = plansearch.find_expected_free(
+            state, entry, allow_remote, time_ms
+        )
+        if len(workers) == len(entry.indexes):
+            return _Forecast(time_ms, workers)
+        if time_ms + demand.remaining_ms > demand.last_use_ms:
+            break
+    return _Forecast(None, workers)
+
+
 def _choose_victims(
     state: planstate.PlanningState,
     entry: planstate.WaitingGroup,
     allow_remote: bool,
-) -> None:
-    """Choose the tasks to stop for a group.
+) -> list[victimcosts.Allocation]:
+    """Choose the tasks to stop for a group, and mark them.
 
     No task is stopped for a gang that would not fit as a whole even then.
     """
@@ -56,8 +140,8 @@
         get_cost,
     )
     if step.gang and sum(slots.values()) < len(entry.indexes):
-        return
-    stops = victimsearch.choose_victims(
+        return []
+    return victimsearch.choose_victims(
         state.victims,
         victimsearch.Request(
             step.need, len(entry.indexes), preemptor, step.data_rack
@@ -73,7 +157,6 @@
             for name in slots
         },
     )
-    state.stops += [planstate.Stop(held.task, entry.group) for held in stops]
 
 
 def preempt_best_effort(
--- a/packages/core/src/cyclamenshelf_core/plansearch.py
+++ b/packages/core/src/cyclamenshelf_core/plansearch.py
@@ -98,6 +98,32 @@
     )
 
 
+def find_expected_free(
+    state: planstate.PlanningState,
+    entry: planstate.WaitingGroup,
+    allow_remote: bool,
+    within_ms: int,
+) -> list[str]:
+    """Return a worker for each task that fits once other tasks have ended.
+
+    Args:
+        state: State of the decision.
+        entry: The group.
+        allow_remote: Whether slow placement is allowed.
+        within_ms: Time from now until which ends are expected.
+    """
+    step = entry.job.steps[entry.group.step]
+    return _search_workers(
+        state,
+        make_query(
+            entry,
+            freecapacity.list_eligible(state.capacity, entry.job, step),
+            lambda worker_id: state.get_expected_free(worker_id, within_ms),
+        ),
+        allow_remote,
+    )
+
+
 def make_query(
     entry: planstate.WaitingGroup,
     candidates: list[freecapacity.CandidateWorker],
--- a/packages/core/src/cyclamenshelf_core/planstate.py
+++ b/packages/core/src/cyclamenshelf_core/planstate.py
@@ -5,6 +5,9 @@
 from cyclamenshelf_core import freecapacity
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import victimcosts
+from cyclamenshelf_core.overload import callercost
+from cyclamenshelf_core.overload import forecast
+from cyclamenshelf_core.overload import stopdecision
 
 
 class WaitingGroup(NamedTuple):
@@ -52,6 +55,18 @@
     beneficiary: taskjobs.Group
 
 
+class Wait(NamedTuple):
+    """A group that waits for tasks to end where it could stop others.
+
+    Attributes:
+        free_after_ms: When enough is expected to come free; None if unknown.
+    """
+
+    group: taskjobs.Group
+    choice: stopdecision.Choice
+    free_after_ms: int | None
+
+
 class Shape(NamedTuple):
     """The properties that decide where the tasks of a group can be placed."""
 
@@ -81,6 +96,8 @@
             shrinks within a decision, unless `forget_searches` is called.
         idle_services: Services of which less than half is in use; None until
             they are found from the workers that accept tasks.
+        running: What the callers of running groups expect, relative to now.
+        waits: Groups that wait although they could stop tasks.
     """
 
     def __init__(
@@ -90,6 +107,7 @@
         counts: dict[tuple[str, int, str], int],
         isolated: int = 0,
         idle_services: frozenset[str] | None = None,
+        running: dict[taskjobs.Group, callercost.Demand] | None = None,
     ) -> None:
         self.capacity = freecapacity.FreeCapacity(workers, counts)
         for allocation in held:
@@ -107,6 +125,9 @@
         self.isolated = isolated
         self.unplaceable: dict[Shape, int] = {}
         self.idle_services = idle_services
+        self.running = running or {}
+        self.ends = forecast.ExpectedEnds(held)
+        self.waits: list[Wait] = []
 
     def get_soon_free(self, worker_id: str) -> taskjobs.Resources:
         """Return the resources that are free or being released."""
@@ -114,6 +135,15 @@
         releasing = self.victims.releasing.get(worker_id)
         return free if releasing is None else taskjobs.add(free, releasing)
 
+    def get_expected_free(
+        self, worker_id: str, within_ms: int
+    ) -> taskjobs.Resources:
+        """Return the resources that are expected to be free after a time."""
+        released = forecast.sum_released(
+            self.ends, worker_id, within_ms, self.victims.chosen
+        )
+        return taskjobs.add(self.get_soon_free(worker_id), released)
+
 
 def forget_searches(state: PlanningState) -> None:
     """Drop what earlier searches found, as free capacity has grown."""
--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -20,6 +20,7 @@
 from cyclamenshelf_core import planstate
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import victimcosts
+from cyclamenshelf_core.overload import callercost
 
 # How many blocked gangs below priority 0 get capacity reserved per decision.
 _MAX_GANG_RESERVATIONS = 3
@@ -32,11 +33,13 @@
         starts: Tasks to start.
         stops: Tasks to stop.
         blocked: Groups of which some tasks could not be placed.
+        waits: Those of them that wait although they could stop tasks.
     """
 
     starts: list[planstate.Start]
     stops: list[planstate.Stop]
     blocked: list[taskjobs.Group]
+    waits: list[planstate.Wait] = []
 
 
 def plan(
@@ -47,6 +50,7 @@
     urgent_headroom: dict[str, int],
     isolated_workers: int = 0,
     idle_services: frozenset[str] | None = None,
+    running: dict[taskjobs.Group, callercost.Demand] | None = None,
 ) -> Plan:
     """Return the tasks to start and to stop.
 
@@ -60,9 +64,10 @@
         isolated_workers: Number of workers that run isolated tasks; they are
             not among `workers`.
         idle_services: See `planstate.PlanningState`.
+        running: What the callers of running groups expect, relative to now.
     """
     state = planstate.PlanningState(
-        workers, held, counts, isolated_workers, idle_services
+        workers, held, counts, isolated_workers, idle_services, running
     )
     kept = headroom.Headroom(urgent_headroom)
     for entry in sorted(waiting, key=_get_sort_key):
@@ -74,7 +79,7 @@
             planisolation.schedule_isolated_group(state, entry)
         else:
             _schedule_group(state, entry)
-    return Plan(state.starts, state.stops, state.blocked)
+    return Plan(state.starts, state.stops, state.blocked, state.waits)
 
 
 def _get_sort_key(entry: planstate.WaitingGroup) -> tuple:
--- a/packages/core/src/cyclamenshelf_core/victimcosts.py
+++ b/packages/core/src/cyclamenshelf_core/victimcosts.py
@@ -140,6 +140,16 @@
             _add_releasing(self, member)
         return newly_chosen
 
+    def unmark(self, stops: list[Allocation]) -> None:
+        """Take back marks, as the tasks are not stopped after all."""
+        for held in stops:
+            self.chosen.discard(held.task)
+            self._preemptible.pop(held.worker_id, None)
+            self._costs.pop(held.worker_id, None)
+            self.releasing[held.worker_id] = taskjobs.subtract(
+                self.releasing[held.worker_id], held.need
+            )
+
 
 def _add_releasing(victims: VictimIndex, allocation: Allocation) -> None:
     victims.releasing[allocation.worker_id] = taskjobs.add(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -93,6 +93,8 @@
         not_before_ms: Monotonic time before which a group is not started.
         preempting: Groups that wait for tasks that were stopped for them,
             with the monotonic time of the first stop.
+        deferring: Groups that wait for other tasks to end rather than have
+            any stopped, with the monotonic time since when.
         blocked_since_ms: Groups with ready tasks that found no room, with the
             monotonic time since when.
         unstored_ends: By page, the first end on each worker whose effects are
@@ -126,6 +128,7 @@
         )
         self.not_before_ms: dict[taskjobs.Group, int] = {}
         self.preempting: dict[taskjobs.Group, int] = {}
+        self.deferring: dict[taskjobs.Group, int] = {}
         self.blocked_since_ms: dict[taskjobs.Group, int] = {}
         self.unstored_ends: dict[int, dict[str, tuple[int, int]]] = {}
         self.rejections = 0
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -253,6 +253,7 @@
         planning.list_idle_services(
             owner.ledger, owner.workers.values(), times.now_ms
         ),
+        planning.list_running_demands(owner.ledger, times),
     )
     owner.decision = pendingreasons.Decision(
         waiting, impossible, decision.blocked, headroom
@@ -261,6 +262,7 @@
         owner.context.registry, owner.ledger, decision, held, times.now_ms
     )
     planning.record_preempting_groups(owner.ledger, decision, times.now_ms)
+    planning.record_deferring_groups(owner.ledger, decision, times.now_ms)
     planning.record_blocked_groups(owner.ledger, decision, times.now_ms)
     owneradvice.request_advice(
         owner, runnable, set(decision.blocked), capacities
--- /dev/null
+++ b/testing/core/overload/test_stopdecision.py
@@ -0,0 +1,134 @@
+"""Tests of whether a group stops tasks or waits for others to end."""
+
+import pytest
+from testing.core import taskbuilders as builders
+
+from cyclamenshelf_core import taskjobs
+from cyclamenshelf_core import taskplan
+from cyclamenshelf_core.overload import callercost
+from cyclamenshelf_core.overload import stopdecision
+
+# In time, with 5 s of work on one core and eight accelerators left.
+RUNNING = callercost.Demand(1, 20_000, 60_000, 5_000, 325_000)
+FULL = {"w00": taskjobs.NO_RESOURCES, "w01": taskjobs.NO_RESOURCES}
+
+
+def plan(entry, held, running=None):
+    """Plan a group on two full workers."""
+    return taskplan.plan(
+        [entry],
+        held,
+        builders.make_workers(1, 2, **FULL),
+        {},
+        {},
+        running={task.task.group: running for task in held} if running else {},
+    )
+
+
+def make_urgent(slack_ms, guaranteed=False, waited_ms=0, tasks=1):
+    step = builders.make_step(tasks, 8, gang=tasks > 1, run_ms=2_000)
+    job = builders.make_job("u", step, priority=0, slowdown_factor=1.5)
+    entry = builders.make_waiting_group(
+        job, slack_ms=slack_ms, guaranteed=guaranteed
+    )
+    return entry._replace(waited_ms=waited_ms)
+
+
+def make_held(*left_ms, **values):
+    """Return tasks that fill a worker each and end after some times."""
+    step = builders.make_step(len(left_ms), 8, **values)
+    job = builders.make_job("low", step, priority=1)
+    return [
+        builders.make_allocation(job, f"w0{n}", n, expected_left_ms=ms)
+        for n, ms in enumerate(left_ms)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("slack_ms", "left_ms", "stops"),
+    [
+        (1_500, 400, 0),
+        (1_500, 900, 1),
+        (600, 400, 1),
+        (1_500, None, 1),
+    ],
+)
+def test_group_with_slack_waits_for_tasks_that_are_about_to_end(
+    slack_ms, left_ms, stops
+):
+    # In bursts of short urgent jobs, gangs that needed 0.7 s more were stopped
+    # after 10 s, although the urgent job had that time.
+    result = plan(make_urgent(slack_ms), make_held(left_ms), RUNNING)
+    assert len(result.stops) == stops
+    assert not result.starts
+    assert [wait.choice for wait in result.waits] == [
+        stopdecision.Choice.IN_TIME
+    ] * (1 - stops)
+
+
+def test_gang_waits_only_if_all_of_it_will_fit():
+    urgent = make_urgent(1_500, tasks=2)
+    assert plan(urgent, make_held(400, 5_000), RUNNING).stops
+    assert not plan(urgent, make_held(400, 400), RUNNING).stops
+
+
+@pytest.mark.parametrize(
+    ("waited_ms", "left_ms", "stops"), [(0, 200, 0), (300, 200, 1), (0, 900, 1)]
+)
+def test_guaranteed_group_waits_for_a_short_time_only(
+    waited_ms, left_ms, stops
+):
+    # It has to begin within seconds of its acceptance, however much slack it
+    # has, and whatever others lose.
+    urgent = make_urgent(9_000, guaranteed=True, waited_ms=waited_ms)
+    costly = RUNNING._replace(objective_ms=5_100)
+    assert len(plan(urgent, make_held(left_ms), costly).stops) == stops
+
+
+@pytest.mark.parametrize(("slack_ms", "stops"), [(100, 1), (-30_000, 0)])
+def test_nothing_is_stopped_for_a_job_that_nobody_needs_any_more(
+    slack_ms, stops
+):
+    # After a burst, expired urgent jobs displaced work that was still of use.
+    result = plan(make_urgent(slack_ms), make_held(None), RUNNING)
+    assert len(result.stops) == stops
+
+
+@pytest.mark.parametrize(("lost_work_ms", "stops"), [(500, 1), (9_000, 0)])
+def test_slightly_late_group_does_not_throw_away_much_work(lost_work_ms, stops):
+    # Its caller gains a second; that of the other job loses most of its work.
+    held = [task._replace(lost_work_ms=lost_work_ms) for task in make_held(700)]
+    late = make_urgent(-200)
+    assert len(plan(late, held, RUNNING).stops) == stops
+
+
+def test_capacity_that_a_group_waits_for_is_reserved():
+    # Groups of lower priority took it, and the wait was in vain.
+    urgent = make_urgent(3_000, tasks=2)
+    low = builders.make_job("j", builders.make_step(1, 8), priority=2)
+    result = taskplan.plan(
+        [urgent, builders.make_waiting_group(low)],
+        make_held(500),
+        builders.make_workers(1, 2, w00=taskjobs.NO_RESOURCES),
+        {},
+        {},
+    )
+    assert not result.starts
+    assert not result.stops
+
+
+def test_unmarked_victims_can_be_stopped_for_another_group():
+    # A stop that was considered and rejected left its mark on the task.
+    expired = make_urgent(-30_000)
+    other = builders.make_waiting_group(
+        expired.job._replace(id="v"), slack_ms=100
+    )
+    result = taskplan.plan(
+        [expired._replace(preempting=True), other],
+        make_held(None, None),
+        builders.make_workers(1, 2, **FULL),
+        {},
+        {},
+        running={taskjobs.Group("low", 0, 0): RUNNING},
+    )
+    assert {stop.beneficiary.job_id for stop in result.stops} == {"v"}
--- a/testing/daemon/tasks/test_stopmetrics.py
+++ b/testing/daemon/tasks/test_stopmetrics.py
@@ -7,6 +7,7 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskplan
 from cyclamenshelf_core import taskprogress
+from cyclamenshelf_core.overload import stopdecision
 from cyclamenshelf_daemon import metrics
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import planning
@@ -38,6 +39,7 @@
         now_ms = 1_000 + 200 * number
         stopmetrics.record_plan(registry, ledger, plan, held, now_ms)
         planning.record_preempting_groups(ledger, plan, now_ms)
+        planning.record_deferring_groups(ledger, plan, now_ms)
     return metrics.format_metrics(registry).splitlines()
 
 
@@ -66,3 +68,23 @@
     )
     assert "cyclamenshelf_preemption_wait_ms_count 1" in lines
     assert "cyclamenshelf_preemption_wait_ms_sum 400" in lines
+
+
+def test_deferred_stops_are_counted_once_and_timed(ledger):
+    # Operators see how long callers wait so that others lose no work.
+    wait = planstate.Wait(GROUP, stopdecision.Choice.IN_TIME, 250)
+    deferred = make_plan(blocked=[GROUP])._replace(waits=[wait])
+    lines = record_plans(ledger, deferred, deferred, make_plan(starts=[START]))
+    assert 'cyclamenshelf_stops_deferred_total{choice="in_time"} 1' in lines
+    assert "cyclamenshelf_stop_deferral_ms_sum 400" in lines
+
+
+def test_deferral_ends_with_a_stop(ledger):
+    wait = planstate.Wait(GROUP, stopdecision.Choice.CHEAPER, None)
+    lines = record_plans(
+        ledger,
+        make_plan(blocked=[GROUP])._replace(waits=[wait]),
+        make_plan(stops=1, blocked=[GROUP]),
+        make_plan(starts=[START]),
+    )
+    assert "cyclamenshelf_stop_deferral_ms_sum 200" in lines
