Order late groups by what their callers still need

Cause: groups that could no longer be in time were started in the order of their acceptance, so that in a burst the callers of small jobs waited behind large ones, and jobs of no use any more came before those that still were.

Change: overload.grouporder sorts the groups. Within a priority, and after those for which tasks are stopped or that a guarantee covers: in time by slack, late ones by the least work, those of no use any more last, the oldest first. One group at a time that is late by ten times its objective comes first, so that nothing starves.

--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -1,13 +1,13 @@
 """Planning of the tasks to start, and of those to preempt for them.
 
 Groups are scheduled by priority. Within a priority, groups for which tasks are
-being stopped come first, then those that a guarantee covers, then those with
-the least slack until they would miss their objective; other groups that can no
-longer meet it come last. Only a group of priority 0 may preempt tasks of lower
-priority. Capacity that is being freed for a group is reserved for it, and a
-few other gangs reserve capacity too. Tasks that may have crashed workers run
-alone, and are scheduled after the groups of priority 0. Some capacity stays
-free for groups of priority 0 that may arrive next; see `headroom`.
+being stopped come first, then those that a guarantee covers, then the others
+by what a delay costs their callers; see `overload.grouporder`. Only a group of
+priority 0 may preempt tasks of lower priority. Capacity that is being freed for
+a group is reserved for it, and a few other gangs reserve capacity too. Tasks
+that may have crashed workers run alone, and are scheduled after the groups of
+priority 0. Some capacity stays free for groups of priority 0 that may arrive
+next; see `headroom`.
 """
 
 from typing import NamedTuple
@@ -21,6 +21,7 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import victimcosts
 from cyclamenshelf_core.overload import callercost
+from cyclamenshelf_core.overload import grouporder
 
 # How many blocked gangs below priority 0 get capacity reserved per decision.
 _MAX_GANG_RESERVATIONS = 3
@@ -70,7 +71,7 @@
         workers, held, counts, isolated_workers, idle_services, running
     )
     kept = headroom.Headroom(urgent_headroom)
-    for entry in sorted(waiting, key=_get_sort_key):
+    for entry in grouporder.sort_groups(waiting):
         if headroom.may_use(state, entry):
             headroom.release(kept, state)
         else:
@@ -82,22 +83,6 @@
     return Plan(state.starts, state.stops, state.blocked, state.waits)
 
 
-def _get_sort_key(entry: planstate.WaitingGroup) -> tuple:
-    late = entry.slack_ms < 0 and not entry.guaranteed
-    return (
-        # An empty worker is rarely left over by other groups.
-        0 if entry.isolated else entry.job.priority,
-        entry.isolated,
-        # Another group would take the capacity that is freed for this one,
-        # for which more tasks would then be stopped.
-        not entry.preempting,
-        not entry.guaranteed,
-        late,
-        entry.job.accepted_ms if late else entry.slack_ms,
-        entry.group,
-    )
-
-
 def _schedule_group(
     state: planstate.PlanningState, entry: planstate.WaitingGroup
 ) -> None:
