Choose the stops by which callers lose least, and protect expired jobs

Cause: the search for tasks to stop weighs lost work only. Under steady urgent demand it stopped the same gang with checkpoints five times within 16 s, until it was late. A job of no use any more has nothing left to lose, so it would be stopped for ever.

Change: the search is repeated without the group whose caller loses most, as long as all callers together lose less (overload.stopdecision). Tasks with checkpoints outside gangs may use the headroom when they have less than 5 s of slack.

The gangs are still stopped, as a stop is thought to cost 100 ms of work.

--- a/packages/core/src/cyclamenshelf_core/headroom.py
+++ b/packages/core/src/cyclamenshelf_core/headroom.py
@@ -1,15 +1,17 @@
 """Free capacity that is kept for groups of priority 0 that may arrive next.
 
 It is a preference: a group that has waited for long beside idle workers may use
-it, as urgent work that never comes must not keep other work from running.
+it, as urgent work that never comes must not keep other work from running. Tasks
+that lose little when they are stopped may use it before they are late: what
+they hold is free again soon after urgent work has come.
 """
 
 from cyclamenshelf_core import planstate
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import waitlimit
 
-# A group of priority 1 with less slack than this may use the headroom, so that
-# urgent work does not make it late.
+# A group of priority 1, or one that is cheap to stop, may use the headroom when
+# it has less slack than this, so that urgent work does not make it late.
 _LOW_SLACK_MS = 5_000
 
 
@@ -36,9 +38,21 @@
         return True
     if job.priority == 1 and 0 <= entry.slack_ms < _LOW_SLACK_MS:
         return True
+    if entry.slack_ms < _LOW_SLACK_MS and _is_cheap_to_stop(
+        job.steps[entry.group.step]
+    ):
+        return True
     return waitlimit.is_reached(state, entry)
 
 
+def _is_cheap_to_stop(step: taskjobs.Step) -> bool:
+    """Return whether a stopped task of a step loses little work.
+
+    The members of a gang also lose the time in which not all of them run.
+    """
+    return step.checkpointable and not step.gang and not step.long_running
+
+
 def reserve(headroom: Headroom, state: planstate.PlanningState) -> None:
     """Keep whole workers with the required free accelerators in total.
 
--- a/packages/core/src/cyclamenshelf_core/overload/stopdecision.py
+++ b/packages/core/src/cyclamenshelf_core/overload/stopdecision.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import enum
+from typing import NamedTuple
 
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import victimcosts
@@ -71,11 +72,24 @@
     return callercost.compute_delay_cost(demand, wait_ms)
 
 
+class StopLoss(NamedTuple):
+    """What callers lose if tasks are stopped for a group.
+
+    Attributes:
+        total: Loss of all callers, that of the group included.
+        dearest: The stopped group whose caller loses most; None if no caller
+            of a stopped task loses anything.
+    """
+
+    total: float
+    dearest: taskjobs.Group | None
+
+
 def compute_stop_loss(
     demand: callercost.Demand,
     victims: Iterable[victimcosts.Allocation],
     running: Mapping[taskjobs.Group, callercost.Demand],
-) -> float:
+) -> StopLoss:
     """Return what all callers lose if tasks are stopped for a group.
 
     Args:
@@ -88,11 +102,17 @@
         by_group.setdefault(held.task.group, []).append(held)
     # The room of the stopped tasks is in use until the group has ended.
     requeue_ms = STOP_MS + demand.remaining_ms
-    return callercost.compute_delay_cost(demand, STOP_MS) + sum(
-        _compute_victim_loss(running[group], stopped, requeue_ms)
+    losses = {
+        group: _compute_victim_loss(running[group], stopped, requeue_ms)
         for group, stopped in by_group.items()
         if group in running
+    }
+    total = callercost.compute_delay_cost(demand, STOP_MS)
+    total += sum(losses.values())
+    dearest = max(
+        losses, key=lambda group: (losses[group], group), default=None
     )
+    return StopLoss(total, dearest)
 
 
 def _compute_victim_loss(
--- a/packages/core/src/cyclamenshelf_core/planpreemption.py
+++ b/packages/core/src/cyclamenshelf_core/planpreemption.py
@@ -13,11 +13,15 @@
 from cyclamenshelf_core import victimcosts
 from cyclamenshelf_core import victimsearch
 from cyclamenshelf_core.overload import callercost
+from cyclamenshelf_core.overload import floor
 from cyclamenshelf_core.overload import stopdecision
 
 # Times for which it is asked whether enough comes free by then.
 _FORECAST_TIMES_MS = (250, 500, 1_000, 2_000, 4_000, 8_000)
 
+# How many times cheaper stops are searched for.
+_MAX_ALTERNATIVES = 3
+
 
 class _Forecast(NamedTuple):
     """When a group is expected to fit, and where.
@@ -31,6 +35,19 @@
     workers: list[str]
 
 
+class _Stops(NamedTuple):
+    """Tasks to stop for a group.
+
+    Attributes:
+        placed: A worker for each task that fits then.
+        loss: What callers lose by it.
+    """
+
+    victims: list[victimcosts.Allocation]
+    placed: list[str]
+    loss: stopdecision.StopLoss
+
+
 def preempt_and_reserve(
     state: planstate.PlanningState,
     entry: planstate.WaitingGroup,
@@ -62,16 +79,16 @@
         demand, after_ms, entry.guaranteed, entry.waited_ms
     ):
         return _wait(state, entry, expected, stopdecision.Choice.IN_TIME)
-    victims = _choose_victims(state, entry, allow_remote)
-    if victims and not entry.guaranteed:
-        stop_loss = stopdecision.compute_stop_loss(
-            demand, victims, state.running
-        )
-        if stop_loss > stopdecision.compute_wait_loss(demand, after_ms):
-            state.victims.unmark(victims)
+    stops = _choose_stops(state, entry, allow_remote, demand)
+    if stops.victims and not entry.guaranteed:
+        wait_loss = stopdecision.compute_wait_loss(demand, after_ms)
+        if stops.loss.total > wait_loss:
+            state.victims.unmark(stops.victims)
             return _wait(state, entry, expected, stopdecision.Choice.CHEAPER)
-    state.stops += [planstate.Stop(held.task, entry.group) for held in victims]
-    return plansearch.find_soon_free(state, entry, allow_remote)
+    state.stops += [
+        planstate.Stop(held.task, entry.group) for held in stops.victims
+    ]
+    return stops.placed
 
 
 def _wait(
@@ -105,6 +122,58 @@
     return _Forecast(None, workers)
 
 
+def _choose_stops(
+    state: planstate.PlanningState,
+    entry: planstate.WaitingGroup,
+    allow_remote: bool,
+    demand: callercost.Demand,
+) -> _Stops:
+    """Choose the tasks to stop for a group, and mark them.
+
+    The search weighs lost work only. It is repeated without the group whose
+    caller loses most, as long as all callers together lose less then.
+    """
+    kept: set[taskjobs.Group] = set()
+    if not entry.guaranteed:
+        kept = floor.list_protected(
+            state.victims.by_group, state.capacity.workers, state.running
+        )
+    best = _search_stops(state, entry, allow_remote, demand, kept)
+    for _ in range(_MAX_ALTERNATIVES):
+        if best.loss.dearest is None:
+            break
+        state.victims.unmark(best.victims)
+        kept = kept | {best.loss.dearest}
+        other = _search_stops(state, entry, allow_remote, demand, kept)
+        if (
+            len(other.placed) < len(best.placed)
+            or other.loss.total >= best.loss.total
+        ):
+            state.victims.unmark(other.victims)
+            for held in best.victims:
+                state.victims.mark_for_stop(held)
+            break
+        best = other
+    state.victims.keep(())
+    return best
+
+
+def _search_stops(
+    state: planstate.PlanningState,
+    entry: planstate.WaitingGroup,
+    allow_remote: bool,
+    demand: callercost.Demand,
+    kept: set[taskjobs.Group],
+) -> _Stops:
+    state.victims.keep(kept)
+    victims = _choose_victims(state, entry, allow_remote)
+    return _Stops(
+        victims,
+        plansearch.find_soon_free(state, entry, allow_remote),
+        stopdecision.compute_stop_loss(demand, victims, state.running),
+    )
+
+
 def _choose_victims(
     state: planstate.PlanningState,
     entry: planstate.WaitingGroup,
--- a/packages/core/src/cyclamenshelf_core/victimcosts.py
+++ b/packages/core/src/cyclamenshelf_core/victimcosts.py
@@ -5,6 +5,7 @@
 a worker is cached until one of its tasks is chosen.
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from cyclamenshelf_core import taskjobs
@@ -56,6 +57,7 @@
         by_group: Allocations by group.
         releasing: Resources by worker that stopping tasks will release.
         chosen: Tasks that this decision stops.
+        kept: Groups of which no task is chosen at present.
     """
 
     def __init__(self, held: list[Allocation]) -> None:
@@ -63,6 +65,7 @@
         self.by_group: dict[taskjobs.Group, list[Allocation]] = {}
         self.releasing: dict[str, taskjobs.Resources] = {}
         self.chosen: set[taskjobs.Task] = set()
+        self.kept: set[taskjobs.Group] = set()
         self._sorted_workers: set[str] = set()
         self._preemptible: dict[str, dict[Preemptor, taskjobs.Resources]] = {}
         self._costs: dict[str, dict[tuple, float]] = {}
@@ -150,6 +153,15 @@
                 self.releasing[held.worker_id], held.need
             )
 
+    def keep(self, groups: Iterable[taskjobs.Group]) -> None:
+        """Choose no task of some groups, and of no others, from now on."""
+        changed = self.kept.symmetric_difference(groups)
+        self.kept = set(groups)
+        for group in changed:
+            for member in self.by_group.get(group, ()):
+                self._preemptible.pop(member.worker_id, None)
+                self._costs.pop(member.worker_id, None)
+
 
 def _add_releasing(victims: VictimIndex, allocation: Allocation) -> None:
     victims.releasing[allocation.worker_id] = taskjobs.add(
@@ -214,6 +226,8 @@
 ) -> bool:
     if held.long_running or held.stopping or held.task in victims.chosen:
         return False
+    if held.task.group in victims.kept:
+        return False
     if held.priority != preemptor.priority:
         return held.priority > preemptor.priority
     return preemptor.guaranteed and not held.guaranteed
--- a/testing/core/overload/test_stopdecision.py
+++ b/testing/core/overload/test_stopdecision.py
@@ -132,3 +132,66 @@
         running={taskjobs.Group("low", 0, 0): RUNNING},
     )
     assert {stop.beneficiary.job_id for stop in result.stops} == {"v"}
+
+
+def make_gang_and_singles():
+    """Return a gang whose stop loses little work, and singles that lose more.
+
+    Each fills one of two workers.
+    """
+    gang = builders.make_job("gang", builders.make_step(2, 4, gang=True))
+    single = builders.make_job("single", builders.make_step(2, 4))
+    return [
+        builders.make_allocation(job, worker_id, n, lost_work_ms=lost_work_ms)
+        for job, worker_id, lost_work_ms in (
+            (gang, "w00", 100),
+            (single, "w01", 500),
+        )
+        for n in range(2)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("slack_ms", "stopped"), [(500, "single"), (9_000, "gang")]
+)
+def test_same_gang_is_not_stopped_until_it_is_late(slack_ms, stopped):
+    # Under steady urgent demand one gang was stopped five times within 16 s,
+    # as it loses least work each time, and missed its objective.
+    held = make_gang_and_singles()
+    running = {
+        task.task.group: RUNNING._replace(objective_ms=20_000) for task in held
+    }
+    gang = held[0].task.group
+    running[gang] = RUNNING._replace(objective_ms=5_000 + slack_ms)
+    result = taskplan.plan(
+        [make_urgent(100)],
+        held,
+        builders.make_workers(1, 2, **FULL),
+        {},
+        {},
+        running=running,
+    )
+    assert {stop.task.group.job_id for stop in result.stops} == {stopped}
+
+
+@pytest.mark.parametrize(("guaranteed", "stops"), [(False, 0), (True, 2)])
+def test_expired_job_can_end_although_urgent_jobs_keep_arriving(
+    guaranteed, stops
+):
+    # Its caller has nothing left to lose, so it was always the one to stop.
+    held = make_gang_and_singles()[:2]
+    expired = RUNNING._replace(objective_ms=-50_000, last_use_ms=-10_000)
+    workers = builders.make_workers(2, 8, **FULL)
+    result = taskplan.plan(
+        [
+            make_urgent(100, guaranteed=guaranteed)._replace(
+                allowed_workers=frozenset({"w00"})
+            )
+        ],
+        held,
+        workers,
+        {},
+        {},
+        running={held[0].task.group: expired},
+    )
+    assert len(result.stops) == stops
--- a/testing/core/test_headroom.py
+++ b/testing/core/test_headroom.py
@@ -44,6 +44,26 @@
     assert plan(lasting._replace(waited_ms=0), **free) == []
 
 
+@pytest.mark.parametrize(
+    ("slack_ms", "values", "started"),
+    [
+        (4_999, {"checkpointable": True}, True),
+        (-1, {"checkpointable": True}, True),
+        (5_000, {"checkpointable": True}, False),
+        (4_999, {}, False),
+        (4_999, {"checkpointable": True, "gang": True}, False),
+    ],
+)
+def test_tasks_that_are_cheap_to_stop_use_the_headroom_before_they_are_late(
+    slack_ms, values, started
+):
+    # After a burst of urgent jobs, capacity for another one idled for 10 s
+    # while checkpointed scans became late.
+    free = dict.fromkeys(("w00", "w01", "w10", "w11"), HALF)
+    group = make_group("scan", 0, **values)._replace(slack_ms=slack_ms)
+    assert plan(group, **free) == ["scan"] * started
+
+
 def test_headroom_is_kept_from_later_groups_again():
     old = make_group("old", LONG_MS)._replace(slack_ms=5_000)
     groups = [make_group("new", 0)._replace(slack_ms=1_000), old]
