--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/overload/__init__.py
@@ -0,0 +1,1 @@
+"""What the owner knows and records about too little room."""
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -33,6 +33,8 @@
 from cyclamenshelf_daemon.tasks import suspension
 from cyclamenshelf_daemon.tasks import waitreports
 from cyclamenshelf_daemon.tasks import writer
+from cyclamenshelf_daemon.tasks.overload import deferrals
+from cyclamenshelf_daemon.tasks.overload import demands
 
 _TICK_MS = 200
 # How long a call to the store waits for changes of jobs and workers.
@@ -253,7 +255,7 @@
         planning.list_idle_services(
             owner.ledger, owner.workers.values(), times.now_ms
         ),
-        planning.list_running_demands(owner.ledger, times),
+        demands.list_running_demands(owner.ledger, times),
     )
     owner.decision = pendingreasons.Decision(
         waiting, impossible, decision.blocked, headroom
@@ -262,7 +264,7 @@
         owner.context.registry, owner.ledger, decision, held, times.now_ms
     )
     planning.record_preempting_groups(owner.ledger, decision, times.now_ms)
-    planning.record_deferring_groups(owner.ledger, decision, times.now_ms)
+    deferrals.record_deferring_groups(owner.ledger, decision, times.now_ms)
     planning.record_blocked_groups(owner.ledger, decision, times.now_ms)
     owneradvice.request_advice(
         owner, runnable, set(decision.blocked), capacities
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -15,7 +15,6 @@
 from cyclamenshelf_core import waitlimit
 from cyclamenshelf_core import workerlosses
 from cyclamenshelf_core import workerspeeds
-from cyclamenshelf_core.overload import callercost
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import lostworkers
@@ -153,20 +152,6 @@
         ledger.jobs[group.job_id].preempting.setdefault(group, now_ms)
 
 
-def record_deferring_groups(
-    ledger: ledgers.Ledger, plan: taskplan.Plan, now_ms: int
-) -> None:
-    """Record which groups wait for tasks to end rather than stop any."""
-    blocked = set(plan.blocked)
-    for group in {stop.beneficiary for stop in plan.stops} | {
-        start.group for start in plan.starts if start.group not in blocked
-    }:
-        ledger.jobs[group.job_id].deferring.pop(group, None)
-    for wait in plan.waits:
-        entry = ledger.jobs[wait.group.job_id]
-        entry.deferring.setdefault(wait.group, now_ms)
-
-
 def list_allocations(
     ledger: ledgers.Ledger, lists: queues.Lists, now_ms: int
 ) -> list[victimcosts.Allocation]:
@@ -201,24 +186,6 @@
     return held
 
 
-def list_running_demands(
-    ledger: ledgers.Ledger, times: Times
-) -> dict[taskjobs.Group, callercost.Demand]:
-    """Return what the callers of running groups expect, relative to now."""
-    demands: dict[taskjobs.Group, callercost.Demand] = {}
-    for group, runs in ledger.by_group.items():
-        since_ms = max(
-            (run.since_ms for run in runs.values()), default=times.now_ms
-        )
-        demands[group] = callercost.make_running_demand(
-            ledger.jobs[group.job_id].job,
-            group,
-            max(0, times.now_ms - since_ms),
-            times.wall_ms,
-        )
-    return demands
-
-
 def _estimate_left_ms(
     step: taskjobs.Step, run: ledgers.Run, now_ms: int
 ) -> int | None:
--- a/testing/daemon/tasks/test_stopmetrics.py
+++ b/testing/daemon/tasks/test_stopmetrics.py
@@ -12,6 +12,7 @@
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import planning
 from cyclamenshelf_daemon.tasks import stopmetrics
+from cyclamenshelf_daemon.tasks.overload import deferrals
 
 GROUP = taskjobs.Group("urgent", 0, 0)
 START = planstate.Start(GROUP, ((0, "w00"),))
@@ -39,7 +40,7 @@
         now_ms = 1_000 + 200 * number
         stopmetrics.record_plan(registry, ledger, plan, held, now_ms)
         planning.record_preempting_groups(ledger, plan, now_ms)
-        planning.record_deferring_groups(ledger, plan, now_ms)
+        deferrals.record_deferring_groups(ledger, plan, now_ms)
     return metrics.format_metrics(registry).splitlines()
 
 
