Stop no more work for a group than it needs itself

Cause: the loss by work that is done again was counted as a share of the stopped job, so that the stop of a gang of twenty whole workers seemed cheap: it loses a tenth of its own work, but as much as five of the urgent jobs need for which it was stopped.

Change: lost work counts as the callers that could be served instead, jobs like the one of the group. A group that waits without a forecast reserves the workers on which stops would have made room.

--- a/packages/core/src/cyclamenshelf_core/overload/stopdecision.py
+++ b/packages/core/src/cyclamenshelf_core/overload/stopdecision.py
@@ -1,8 +1,8 @@
 """Whether a group waits for tasks that end by themselves or stops others.
 
-Both are compared by what the callers lose: the caller of the group by its
-delay, those of the stopped tasks by work that is done again and by the delay
-that follows from it.
+Both are compared by what callers lose: that of the group by its delay, those of
+the stopped tasks by theirs, and all of them by the room that is taken by work
+that is done again. So no more work is thrown away than the group itself needs.
 """
 
 from collections.abc import Iterable
@@ -77,8 +77,8 @@
 
     Attributes:
         total: Loss of all callers, that of the group included.
-        dearest: The stopped group whose caller loses most; None if no caller
-            of a stopped task loses anything.
+        dearest: The stopped group whose caller loses most by its delay; None
+            if none is late by it.
     """
 
     total: float
@@ -100,36 +100,47 @@
     by_group: dict[taskjobs.Group, list[victimcosts.Allocation]] = {}
     for held in victims:
         by_group.setdefault(held.task.group, []).append(held)
-    # The room of the stopped tasks is in use until the group has ended.
-    requeue_ms = STOP_MS + demand.remaining_ms
-    losses = {
-        group: _compute_victim_loss(running[group], stopped, requeue_ms)
+    delays = {
+        group: _compute_victim_loss(demand, stopped, running[group])
         for group, stopped in by_group.items()
         if group in running
     }
     total = callercost.compute_delay_cost(demand, STOP_MS)
-    total += sum(losses.values())
+    total += sum(delays.values())
+    total += sum(
+        _compute_repeated_loss(demand, stopped) for stopped in by_group.values()
+    )
+    delayed = [group for group in delays if delays[group] > 0]
     dearest = max(
-        losses, key=lambda group: (losses[group], group), default=None
+        delayed, key=lambda group: (delays[group], group), default=None
     )
     return StopLoss(total, dearest)
 
 
+def _compute_repeated_loss(
+    demand: callercost.Demand, stopped: list[victimcosts.Allocation]
+) -> float:
+    """Return the loss by work that is done again.
+
+    It takes room in which jobs like that of the group could run, so it costs
+    as much as not serving their callers.
+    """
+    lost_core_ms = sum(map(victimcosts.compute_lost_core_ms, stopped))
+    jobs = lost_core_ms / max(1.0, demand.work_core_ms)
+    return callercost.compute_weight(demand.priority) * jobs
+
+
 def _compute_victim_loss(
     demand: callercost.Demand,
     stopped: list[victimcosts.Allocation],
-    requeue_ms: int,
+    victim: callercost.Demand,
 ) -> float:
-    """Return what the caller of stopped tasks loses.
+    """Return what the caller of stopped tasks loses by their delay.
 
-    Work that is done again takes room from callers like this one, so it costs
-    the same share of this caller's weight.
+    The room of the stopped tasks is in use until the group has ended.
     """
-    lost_core_ms = sum(map(victimcosts.compute_lost_core_ms, stopped))
-    repeated = min(1.0, lost_core_ms / max(1.0, demand.work_core_ms))
-    delay_ms = requeue_ms + max(held.lost_work_ms for held in stopped)
-    return (
-        callercost.compute_weight(demand.priority) * repeated
-        + callercost.compute_delay_cost(demand, delay_ms)
-        - callercost.compute_delay_cost(demand, 0)
-    )
+    delay_ms = STOP_MS + demand.remaining_ms
+    delay_ms += max(held.lost_work_ms for held in stopped)
+    return callercost.compute_delay_cost(
+        victim, delay_ms
+    ) - callercost.compute_delay_cost(victim, 0)
--- a/packages/core/src/cyclamenshelf_core/planpreemption.py
+++ b/packages/core/src/cyclamenshelf_core/planpreemption.py
@@ -84,6 +84,10 @@
         wait_loss = stopdecision.compute_wait_loss(demand, after_ms)
         if stops.loss.total > wait_loss:
             state.victims.unmark(stops.victims)
+            if after_ms is None:
+                # Nothing else starts there, so that the group fits once
+                # enough tasks have ended.
+                expected = expected._replace(workers=stops.placed)
             return _wait(state, entry, expected, stopdecision.Choice.CHEAPER)
     state.stops += [
         planstate.Stop(held.task, entry.group) for held in stops.victims
