Weigh lost work by the mean of the urgent jobs

Cause: the cost of lost work depended on one caller's estimate. For a job that expects 0.1 s, any lost work outweighed the delay of other callers, so that a guaranteed job of that size displaced other urgent jobs.

Change: lost work is compared with the mean work of the urgent jobs that run.

--- a/packages/core/src/cyclamenshelf_core/overload/stopdecision.py
+++ b/packages/core/src/cyclamenshelf_core/overload/stopdecision.py
@@ -2,12 +2,14 @@
 
 Both are compared by what callers lose: that of the group by its delay, those of
 the stopped tasks by theirs, and all of them by the room that is taken by work
-that is done again. So no more work is thrown away than the group itself needs.
+that is done again. So no more work is thrown away than jobs like that of the
+group need.
 """
 
-from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import enum
+import statistics
 from typing import NamedTuple
 
 from cyclamenshelf_core import taskjobs
@@ -87,7 +89,7 @@
 
 def compute_stop_loss(
     demand: callercost.Demand,
-    victims: Iterable[victimcosts.Allocation],
+    victims: Sequence[victimcosts.Allocation],
     running: Mapping[taskjobs.Group, callercost.Demand],
 ) -> StopLoss:
     """Return what all callers lose if tasks are stopped for a group.
@@ -105,11 +107,11 @@
         for group, stopped in by_group.items()
         if group in running
     }
+    lost_core_ms = sum(map(victimcosts.compute_lost_core_ms, victims))
+    repeated = lost_core_ms / _compute_typical_work(demand, running)
     total = callercost.compute_delay_cost(demand, STOP_MS)
     total += sum(delays.values())
-    total += sum(
-        _compute_repeated_loss(demand, stopped) for stopped in by_group.values()
-    )
+    total += callercost.compute_weight(demand.priority) * repeated
     delayed = [group for group in delays if delays[group] > 0]
     dearest = max(
         delayed, key=lambda group: (delays[group], group), default=None
@@ -117,17 +119,21 @@
     return StopLoss(total, dearest)
 
 
-def _compute_repeated_loss(
-    demand: callercost.Demand, stopped: list[victimcosts.Allocation]
+def _compute_typical_work(
+    demand: callercost.Demand,
+    running: Mapping[taskjobs.Group, callercost.Demand],
 ) -> float:
-    """Return the loss by work that is done again.
+    """Return the work of a job like that of the group, in core-milliseconds.
 
-    It takes room in which jobs like that of the group could run, so it costs
-    as much as not serving their callers.
+    Work that is done again takes room in which such jobs could run, so it costs
+    as much as not serving their callers. Estimates of single jobs are poor.
     """
-    lost_core_ms = sum(map(victimcosts.compute_lost_core_ms, stopped))
-    jobs = lost_core_ms / max(1.0, demand.work_core_ms)
-    return callercost.compute_weight(demand.priority) * jobs
+    works = [
+        other.work_core_ms
+        for other in running.values()
+        if other.priority == demand.priority
+    ]
+    return max(1.0, statistics.fmean([demand.work_core_ms, *works]))
 
 
 def _compute_victim_loss(
--- a/testing/core/overload/test_stopdecision.py
+++ b/testing/core/overload/test_stopdecision.py
@@ -224,3 +224,25 @@
     )
     assert not result.starts
     assert not result.stops
+
+
+def test_one_poor_estimate_does_not_decide_what_lost_work_costs():
+    # A job whose caller expected 0.1 s instead of 2 s displaced other urgent
+    # jobs rather than tasks that lose some work.
+    small = make_urgent(600)
+    step = small.job.steps[0]._replace(expected_run_ms=100)
+    small = small._replace(job=small.job._replace(steps=(step,)))
+    held = make_held(None)
+    assert not plan(small, held, RUNNING).stops
+    result = taskplan.plan(
+        [small],
+        held,
+        builders.make_workers(1, 2, **FULL),
+        {},
+        {},
+        running={
+            taskjobs.Group("other", 0, 0): RUNNING._replace(priority=0),
+            held[0].task.group: RUNNING,
+        },
+    )
+    assert result.stops
