Ask for the last time of a forecast first

Cause: each urgent group without room asked for six times in turn whether it would fit by then, and each time what tasks release was summed anew. A decision on a full fleet of 550 workers took twice as long as before.

Change: the last time is asked for first, as what does not fit then fits at no earlier one; the others by bisection. Sums are kept until the stops on a worker change.

--- a/packages/core/src/cyclamenshelf_core/planpreemption.py
+++ b/packages/core/src/cyclamenshelf_core/planpreemption.py
@@ -114,16 +114,31 @@
     demand: callercost.Demand,
 ) -> _Forecast:
     """Return when all tasks of a group fit, as long as they are of use."""
-    workers: list[str] = []
-    for time_ms in _FORECAST_TIMES_MS:
-        workers = plansearch.find_expected_free(
+
+    def find(time_ms: int) -> list[str]:
+        found = plansearch.find_expected_free(
             state, entry, allow_remote, time_ms
         )
-        if len(workers) == len(entry.indexes):
-            return _Forecast(time_ms, workers)
-        if time_ms + demand.remaining_ms > demand.last_use_ms:
-            break
-    return _Forecast(None, workers)
+        return found if len(found) == len(entry.indexes) else []
+
+    times_ms = [
+        time_ms
+        for time_ms in _FORECAST_TIMES_MS
+        if time_ms + demand.remaining_ms <= demand.last_use_ms
+    ]
+    # What does not fit at the last time does not fit earlier either.
+    workers = find(times_ms[-1]) if times_ms else []
+    if not workers:
+        return _Forecast(None, [])
+    first, last = 0, len(times_ms) - 1
+    while first < last:
+        middle = (first + last) // 2
+        found = find(times_ms[middle])
+        if found:
+            workers, last = found, middle
+        else:
+            first = middle + 1
+    return _Forecast(times_ms[last], workers)
 
 
 def _choose_stops(
--- a/packages/core/src/cyclamenshelf_core/planstate.py
+++ b/packages/core/src/cyclamenshelf_core/planstate.py
@@ -139,8 +139,8 @@
         self, worker_id: str, within_ms: int
     ) -> taskjobs.Resources:
         """Return the resources that are expected to be free after a time."""
-        released = forecast.sum_released(
-            self.ends, worker_id, within_ms, self.victims.chosen
+        released = forecast.get_released(
+            self.ends, worker_id, within_ms, self.victims
         )
         return taskjobs.add(self.get_soon_free(worker_id), released)
 
--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -10,6 +10,7 @@
 next; see `headroom`.
 """
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from cyclamenshelf_core import freecapacity
@@ -40,7 +41,7 @@
     starts: list[planstate.Start]
     stops: list[planstate.Stop]
     blocked: list[taskjobs.Group]
-    waits: list[planstate.Wait] = []
+    waits: Sequence[planstate.Wait] = ()
 
 
 def plan(
--- a/packages/core/src/cyclamenshelf_core/victimcosts.py
+++ b/packages/core/src/cyclamenshelf_core/victimcosts.py
@@ -5,6 +5,7 @@
 a worker is cached until one of its tasks is chosen.
 """
 
+import collections
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -58,6 +59,7 @@
         releasing: Resources by worker that stopping tasks will release.
         chosen: Tasks that this decision stops.
         kept: Groups of which no task is chosen at present.
+        changes: How often the tasks chosen on a worker have changed.
     """
 
     def __init__(self, held: list[Allocation]) -> None:
@@ -66,6 +68,7 @@
         self.releasing: dict[str, taskjobs.Resources] = {}
         self.chosen: set[taskjobs.Task] = set()
         self.kept: set[taskjobs.Group] = set()
+        self.changes: collections.Counter[str] = collections.Counter()
         self._sorted_workers: set[str] = set()
         self._preemptible: dict[str, dict[Preemptor, taskjobs.Resources]] = {}
         self._costs: dict[str, dict[tuple, float]] = {}
@@ -138,6 +141,7 @@
         ]
         for member in newly_chosen:
             self.chosen.add(member.task)
+            self.changes[member.worker_id] += 1
             self._preemptible.pop(member.worker_id, None)
             self._costs.pop(member.worker_id, None)
             _add_releasing(self, member)
@@ -147,6 +151,7 @@
         """Take back marks, as the tasks are not stopped after all."""
         for held in stops:
             self.chosen.discard(held.task)
+            self.changes[held.worker_id] += 1
             self._preemptible.pop(held.worker_id, None)
             self._costs.pop(held.worker_id, None)
             self.releasing[held.worker_id] = taskjobs.subtract(
