Do not let lasting tasks wait until they seem of no use

Cause: a lasting task has no deadline, and its slack is used up soon after its acceptance. It then counted as of no use to its caller, and no task was stopped for it any more. Found by reading, no run showed it.

Change: it waits for at most half a second, like a group that a guarantee covers.

--- a/packages/core/src/cyclamenshelf_core/overload/stopdecision.py
+++ b/packages/core/src/cyclamenshelf_core/overload/stopdecision.py
@@ -22,9 +22,8 @@
 # Time from the decision to stop tasks to the start on what they release. It
 # must be left when a forecast turns out wrong.
 STOP_MS = 500
-# A group that a guarantee covers has a right to its capacity, whatever its
-# slack.
-_MAX_GUARANTEED_WAIT_MS = 500
+# The longest wait of a group that has to start soon, whatever its slack.
+_MAX_SHORT_WAIT_MS = 500
 
 
 class Choice(enum.StrEnum):
@@ -40,7 +39,7 @@
 def may_wait(
     demand: callercost.Demand,
     free_after_ms: int,
-    guaranteed: bool,
+    must_start: bool,
     waited_ms: int,
 ) -> bool:
     """Return whether a wait costs the caller of a group nothing.
@@ -48,11 +47,11 @@
     Args:
         demand: What the caller expects, relative to now.
         free_after_ms: When enough is expected to come free.
-        guaranteed: Whether the account's guarantee covers the group.
+        must_start: Whether the group has to start soon, whatever its slack.
         waited_ms: How long the group has waited for room.
     """
     wait_ms = _FORECAST_MARGIN * free_after_ms
-    if guaranteed and waited_ms + wait_ms > _MAX_GUARANTEED_WAIT_MS:
+    if must_start and waited_ms + wait_ms > _MAX_SHORT_WAIT_MS:
         return False
     return callercost.compute_delay_cost(demand, wait_ms + STOP_MS) == 0
 
--- a/packages/core/src/cyclamenshelf_core/planpreemption.py
+++ b/packages/core/src/cyclamenshelf_core/planpreemption.py
@@ -73,14 +73,18 @@
     demand = callercost.make_relative_demand(
         entry.job, entry.group, len(entry.indexes), entry.slack_ms
     )
+    # The users of a lasting task are not served while it waits.
+    must_start = (
+        entry.guaranteed or entry.job.steps[entry.group.step].long_running
+    )
     expected = _forecast_room(state, entry, allow_remote, demand)
     after_ms = expected.free_after_ms
     if after_ms is not None and stopdecision.may_wait(
-        demand, after_ms, entry.guaranteed, entry.waited_ms
+        demand, after_ms, must_start, entry.waited_ms
     ):
         return _wait(state, entry, expected, stopdecision.Choice.IN_TIME)
     stops = _choose_stops(state, entry, allow_remote, demand)
-    if stops.victims and not entry.guaranteed:
+    if stops.victims and not must_start:
         wait_loss = stopdecision.compute_wait_loss(demand, after_ms)
         if stops.loss.total > wait_loss:
             state.victims.unmark(stops.victims)
--- a/testing/core/overload/test_stopdecision.py
+++ b/testing/core/overload/test_stopdecision.py
@@ -85,6 +85,14 @@
     assert len(plan(urgent, make_held(left_ms), costly).stops) == stops
 
 
+def test_lasting_task_does_not_wait_until_it_seems_to_be_of_no_use():
+    # It has no deadline, so its slack says nothing.
+    step = builders.make_step(1, 8, long_running=True)
+    job = builders.make_job("u", step, priority=0)
+    entry = builders.make_waiting_group(job, slack_ms=-90_000)
+    assert plan(entry, make_held(None), RUNNING).stops
+
+
 @pytest.mark.parametrize(("slack_ms", "stops"), [(600, 1), (-30_000, 0)])
 def test_nothing_is_stopped_for_a_job_that_nobody_needs_any_more(
     slack_ms, stops
