--- a/packages/core/src/cyclamenshelf_core/headroom.py
+++ b/packages/core/src/cyclamenshelf_core/headroom.py
@@ -10,9 +10,12 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import waitlimit
 
-# A group of priority 1, or one that is cheap to stop, may use the headroom when
-# it has less slack than this, so that urgent work does not make it late.
+# A group of priority 1 with less slack than this may use the headroom, so that
+# urgent work does not make it late.
 _LOW_SLACK_MS = 5_000
+# A group that is cheap to stop may use it with less slack than this. Each stop
+# delays urgent work, so it first waits for other capacity as long as it can.
+_LOW_SLACK_IF_CHEAP_MS = 2_000
 
 
 class Headroom:
@@ -38,7 +41,7 @@
         return True
     if job.priority == 1 and 0 <= entry.slack_ms < _LOW_SLACK_MS:
         return True
-    if entry.slack_ms < _LOW_SLACK_MS and _is_cheap_to_stop(
+    if entry.slack_ms < _LOW_SLACK_IF_CHEAP_MS and _is_cheap_to_stop(
         job.steps[entry.group.step]
     ):
         return True
