--- a/packages/core/src/cyclamenshelf_core/headroom.py
+++ b/packages/core/src/cyclamenshelf_core/headroom.py
@@ -1,7 +1,9 @@
 """Free capacity that is kept for groups of priority 0 that may arrive next.
 
 It is a preference: a group that has waited for long beside idle workers may use
-it, as urgent work that never comes must not keep other work from running.
+it, as urgent work that never comes must not keep other work from running. Tasks
+that lose little when they are stopped may use it before they are late: what
+they hold is free again soon after urgent work has come.
 """
 
 from cyclamenshelf_core import planstate
@@ -11,6 +13,9 @@
 # A group of priority 1 with less slack than this may use the headroom, so that
 # urgent work does not make it late.
 _LOW_SLACK_MS = 5_000
+# A group that is cheap to stop may use it with less slack than this. Each stop
+# delays urgent work, so it first waits for other capacity as long as it can.
+_LOW_SLACK_IF_CHEAP_MS = 2_000
 
 
 class Headroom:
@@ -36,9 +41,21 @@
         return True
     if job.priority == 1 and 0 <= entry.slack_ms < _LOW_SLACK_MS:
         return True
+    if entry.slack_ms < _LOW_SLACK_IF_CHEAP_MS and _is_cheap_to_stop(
+        job.steps[entry.group.step]
+    ):
+        return True
     return waitlimit.is_reached(state, entry)
 
 
+def _is_cheap_to_stop(step: taskjobs.Step) -> bool:
+    """Return whether a stopped task of a step loses little work.
+
+    The members of a gang also lose the time in which not all of them run.
+    """
+    return step.checkpointable and not step.gang and not step.long_running
+
+
 def reserve(headroom: Headroom, state: planstate.PlanningState) -> None:
     """Keep whole workers with the required free accelerators in total.
 
--- a/packages/core/src/cyclamenshelf_core/victimcosts.py
+++ b/packages/core/src/cyclamenshelf_core/victimcosts.py
@@ -5,6 +5,8 @@
 a worker is cached until one of its tasks is chosen.
 """
 
+import collections
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from cyclamenshelf_core import taskjobs
@@ -65,6 +67,8 @@
         by_group: Allocations by group.
         releasing: Resources by worker that stopping tasks will release.
         chosen: Tasks that this decision stops.
+        kept: Groups of which no task is chosen at present.
+        changes: How often the tasks chosen on a worker have changed.
     """
 
     def __init__(self, held: list[Allocation]) -> None:
@@ -72,6 +76,8 @@
         self.by_group: dict[taskjobs.Group, list[Allocation]] = {}
         self.releasing: dict[str, taskjobs.Resources] = {}
         self.chosen: set[taskjobs.Task] = set()
+        self.kept: set[taskjobs.Group] = set()
+        self.changes: collections.Counter[str] = collections.Counter()
         self._sorted_workers: set[str] = set()
         self._preemptible: dict[str, dict[Preemptor, taskjobs.Resources]] = {}
         self._costs: dict[str, dict[tuple, float]] = {}
@@ -144,11 +150,32 @@
         ]
         for member in newly_chosen:
             self.chosen.add(member.task)
+            self.changes[member.worker_id] += 1
             self._preemptible.pop(member.worker_id, None)
             self._costs.pop(member.worker_id, None)
             _add_releasing(self, member)
         return newly_chosen
 
+    def unmark(self, stops: list[Allocation]) -> None:
+        """Take back marks, as the tasks are not stopped after all."""
+        for held in stops:
+            self.chosen.discard(held.task)
+            self.changes[held.worker_id] += 1
+            self._preemptible.pop(held.worker_id, None)
+            self._costs.pop(held.worker_id, None)
+            self.releasing[held.worker_id] = taskjobs.subtract(
+                self.releasing[held.worker_id], held.need
+            )
+
+    def keep(self, groups: Iterable[taskjobs.Group]) -> None:
+        """Choose no task of some groups, and of no others, from now on."""
+        changed = self.kept.symmetric_difference(groups)
+        self.kept = set(groups)
+        for group in changed:
+            for member in self.by_group.get(group, ()):
+                self._preemptible.pop(member.worker_id, None)
+                self._costs.pop(member.worker_id, None)
+
 
 def _add_releasing(victims: VictimIndex, allocation: Allocation) -> None:
     victims.releasing[allocation.worker_id] = taskjobs.add(
@@ -221,6 +248,8 @@
         return False
     if held.task in victims.chosen:
         return False
+    if held.task.group in victims.kept:
+        return False
     if held.priority != preemptor.priority:
         return held.priority > preemptor.priority
     return preemptor.guaranteed and not held.guaranteed
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -36,6 +36,8 @@
 from cyclamenshelf_daemon.tasks.evacuation import moving
 from cyclamenshelf_daemon.tasks.evacuation import requests
 from cyclamenshelf_daemon.tasks.evacuation import tracking
+from cyclamenshelf_daemon.tasks.overload import deferrals
+from cyclamenshelf_daemon.tasks.overload import demands
 from cyclamenshelf_daemon.tasks.pacing import pacer
 
 _TICK_MS = 200
@@ -267,6 +269,7 @@
         planning.list_idle_services(
             owner.ledger, owner.workers.values(), times.now_ms
         ),
+        demands.list_running_demands(owner.ledger, times),
     )
     owner.decision = pendingreasons.Decision(
         waiting, impossible, decision.blocked, headroom
@@ -275,6 +278,7 @@
         owner.context.registry, owner.ledger, decision, held, times.now_ms
     )
     planning.record_preempting_groups(owner.ledger, decision, times.now_ms)
+    deferrals.record_deferring_groups(owner.ledger, decision, times.now_ms)
     planning.record_blocked_groups(owner.ledger, decision, times.now_ms)
     owneradvice.request_advice(
         owner, runnable, set(decision.blocked), capacities
--- a/testing/daemon/tasks/fakefleet.py
+++ b/testing/daemon/tasks/fakefleet.py
@@ -215,7 +215,7 @@
                         name,
                         run,
                         self.checkpoints.get(name, ""),
-                        self.readings.get(name),
+                        reading=self.readings.get(name),
                     )
                     for name, run in self.running.items()
                 ),
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -275,7 +275,7 @@
     )
     assert response.running == (
         ports.RunningTask("a", 2, "c", reading=41.0),
-        ports.RunningTask("b", 1, ""),
+        ports.RunningTask("b", 1, "", 0),
     )
 
 
@@ -366,21 +366,23 @@
 
 
 @pytest.mark.parametrize(
-    ("fields", "percent"),
+    ("fields", "percent", "reading"),
     [
-        (["n", 1, ""], 100),
-        (["n", 1, "", 40], 40),
-        (["n", 1, "", 40.5, 7], 40),
-        (["n", 1, "", None], 100),
+        (["n", 1, ""], 100, None),
+        (["n", 1, "", 40], 40, None),
+        (["n", 1, "", 40.5, 7], 40, 7.0),
+        (["n", 1, "", None], 100, None),
     ],
 )
-def test_listed_task_has_its_percentage(fields, percent):
+def test_listed_task_has_its_percentage(fields, percent, reading):
     # A missing or malformed one must not make the worker unresponsive.
     response = workers._decode_renewal_response(
         {"clock_ms": 1, "running": [fields]},
         decode_worker(json.dumps(ENTRY).encode()),
     )
-    assert response.running == (ports.RunningTask("n", 1, "", percent),)
+    assert response.running == (
+        ports.RunningTask("n", 1, "", percent, reading),
+    )
 
 
 def test_step_says_how_many_tasks_may_be_unavailable():
