Refuse jobs under overload at the host that is handed them

Cause: only the owner knows the backlog, and any host accepts jobs, so every job was accepted and no Retry-After knew when capacity comes free.

Change: the owner publishes a summary of the backlog in cell/backlog, at most once a second and only while groups find no room and 2 s of work wait. The first insert of a job carries the version that its host knows; the store rejects it if there is a newer one and returns that. The host then refuses with 429 and the time at which capacity is expected, or inserts the job without that condition. A job that is stored, or may be, is not refused; a summary that is old, odd or from a clock that differs is not used.

Also: a conflict of the store carries the rows that it returns; Retry-After is rounded up to seconds; the histories of takeovers simulate the new thread.

Not built: estimates corrected by measured run times, which would allow less margin.

--- a/packages/core/src/cyclamenshelf_core/errors.py
+++ b/packages/core/src/cyclamenshelf_core/errors.py
@@ -70,13 +70,18 @@
 
     Attributes:
         versions: Actual version by key, for the rows that differ.
+        values: Actual value by key of those that exist, if the store has
+            returned them.
     """
 
     code = "conflict"
 
-    def __init__(self, versions: dict[Any, int]) -> None:
+    def __init__(
+        self, versions: dict[Any, int], values: dict[Any, bytes] | None = None
+    ) -> None:
         super().__init__(f"rows have other versions than expected: {versions}")
         self.versions = versions
+        self.values = values or {}
 
 
 class LeaseLostError(CyclamenshelfError):
@@ -207,6 +212,17 @@
     status = 429
 
 
+class OverloadedError(RequestRefusedError):
+    """So much work is ahead of the job that it would end too late to be of use.
+
+    The job is not stored, and `retry_after_ms` is the time until capacity for
+    it is expected.
+    """
+
+    code = "overloaded"
+    status = 429
+
+
 class StoreDownError(RequestRefusedError):
     """The request needs the store, which is unavailable."""
 
--- a/packages/core/src/cyclamenshelf_core/overload/admission.py
+++ b/packages/core/src/cyclamenshelf_core/overload/admission.py
@@ -89,7 +89,7 @@
         service is None
         or _is_exempt(service, job, guaranteed)
         or _may_start_at_once(service, job)
-        or min(_get_capacity(service, job.priority)) <= 0
+        or not _has_capacity(service, job)
     ):
         return _ACCEPTED
     demand = callercost.make_demand(job, taskjobs.Group(job.id, 0, 0))
@@ -181,14 +181,27 @@
     job: taskjobs.TaskJob,
     work: backlogs.Work,
 ) -> int:
-    """Return how long work occupies what a job needs.
+    """Return how long work occupies the resources that a job needs."""
+    capacity = _get_capacity(service, job.priority)
+    return backlogs.compute_duration_ms(work, capacity, _list_needed(job))
 
-    Only the resources count that the job needs at all.
-    """
+
+def _list_needed(job: taskjobs.TaskJob) -> tuple[bool, ...]:
+    """Return for each resource whether a job needs it at all."""
     needs = [step.need for step in job.steps]
-    needed = tuple(any(amounts) for amounts in zip(*needs, strict=True))
+    return tuple(any(amounts) for amounts in zip(*needs, strict=True))
+
+
+def _has_capacity(
+    service: backlogs.ServiceBacklog, job: taskjobs.TaskJob
+) -> bool:
+    """Return whether the service has some of all that a job needs."""
     capacity = _get_capacity(service, job.priority)
-    return backlogs.compute_duration_ms(work, capacity, needed)
+    return all(
+        amount > 0
+        for amount, needed in zip(capacity, _list_needed(job), strict=True)
+        if needed
+    )
 
 
 def _get_capacity(
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/admission/knownbacklog.py
@@ -0,0 +1,90 @@
+"""What a host knows of the owner's backlog, and how it learns of changes.
+
+A host neither polls nor follows the backlog. The insert of a job carries the
+version that the host knows; while the owner publishes, the store rejects the
+insert and returns the newer row. Without overload the row does not change, and
+nothing is sent that is not sent anyway.
+"""
+
+import collections
+import threading
+
+from cyclamenshelf_core.overload import admission
+from cyclamenshelf_core.overload import backlog as backlogs
+from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon.tasks import ownership
+from cyclamenshelf_daemon.tasks import ports
+
+BACKLOG_KEY = ports.RowKey(ownership.TABLE, "backlog")
+# A backlog that was confirmed within this time is not checked again.
+_FRESH_MS = 1_000
+_MAX_REFUSALS = 1_000
+
+
+class KnownBacklog:
+    """The latest backlog that this host has received.
+
+    Attributes:
+        version: Version of its row; 0 before the first one.
+        backlog: The backlog; None if there is none or it is invalid.
+        received_ms: Monotonic time at which this version was first received.
+        confirmed_ms: Monotonic time at which it was last known to be the
+            latest one; None before the first time.
+        refusals: Jobs that this host has refused, the oldest first.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.backlog: backlogs.Backlog | None = None
+        self.received_ms = 0
+        self.confirmed_ms: int | None = None
+        self.refusals: collections.deque[admission.Refusal] = collections.deque(
+            maxlen=_MAX_REFUSALS
+        )
+        self.lock = threading.Lock()
+
+
+def make_checks(known: KnownBacklog, now_ms: int) -> dict[ports.RowKey, int]:
+    """Return the check that an insert carries; none if the backlog is fresh."""
+    with known.lock:
+        if (
+            known.confirmed_ms is not None
+            and now_ms - known.confirmed_ms < _FRESH_MS
+        ):
+            return {}
+        return {BACKLOG_KEY: known.version}
+
+
+def record_row(
+    known: KnownBacklog, version: int, value: bytes, now_ms: int
+) -> None:
+    """Record a row that the store has returned, unless a newer one is known."""
+    with known.lock:
+        if version < known.version:
+            return
+        known.confirmed_ms = now_ms
+        if version == known.version:
+            return
+        known.version = version
+        known.received_ms = now_ms
+        known.backlog = backlogs.decode(value)
+        if known.backlog is None:
+            logs.log_event("backlog_unreadable", "WARNING", version=version)
+
+
+def record_unchanged(known: KnownBacklog, version: int, now_ms: int) -> None:
+    """Record that a version was the latest one at a time."""
+    with known.lock:
+        if version == known.version:
+            known.confirmed_ms = now_ms
+
+
+def get_current(known: KnownBacklog, now_ms: int) -> backlogs.Backlog | None:
+    """Return the backlog, or None if it was received too long ago.
+
+    Its own time is by the owner's wall clock, which may be wrong.
+    """
+    with known.lock:
+        if now_ms - known.received_ms > admission.MAX_AGE_MS:
+            return None
+        return known.backlog
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/commands.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/commands.py
@@ -60,6 +60,10 @@
         errors.OutcomeUnknownError: The job may or may not be stored.
     """
     clock = host.cached_lists.clock
+    # An earlier insert of the same job may still be on its way.
+    unresolved = unresolvedjobs.has_job(
+        host.unresolved_jobs, job_id, clock.now_ms()
+    )
     deadline_ms = clock.now_ms() + max(0, timeout_ms - _RESPONSE_MARGIN_MS)
     try:
         outcome = submission.submit_job(
@@ -70,6 +74,7 @@
             steps,
             schedule,
             deadline_ms,
+            may_be_refused=not unresolved,
         )
     except errors.StoreUnavailableError as error:
         logs.log_event("job_refused", job=job_id, reason=error.code)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -23,6 +23,8 @@
 from cyclamenshelf_daemon.tasks import relay as relays
 from cyclamenshelf_daemon.tasks import submission
 from cyclamenshelf_daemon.tasks import unresolvedjobs
+from cyclamenshelf_daemon.tasks.admission import knownbacklog
+from cyclamenshelf_daemon.tasks.admission import overloadcheck
 
 # Cached lists that were not confirmed for this long may have been replaced.
 MAX_LISTS_AGE_MS = 2_500
@@ -145,6 +147,13 @@
             clock,
             adaptivetimeout.AdaptiveTimeout(),
             context.max_row_bytes,
+            overloadcheck.OverloadContext(
+                knownbacklog.KnownBacklog(),
+                clock,
+                lambda: 1 + len(members.peers),
+                context.registry,
+                random.Random(),
+            ),
         ),
         unresolvedjobs.UnresolvedJobs(),
         owner_thread,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -33,6 +33,8 @@
 from cyclamenshelf_daemon.tasks import suspension
 from cyclamenshelf_daemon.tasks import waitreports
 from cyclamenshelf_daemon.tasks import writer
+from cyclamenshelf_daemon.tasks.admission import ownerbacklog
+from cyclamenshelf_daemon.tasks.admission import publishing
 
 _TICK_MS = 200
 # How long a call to the store waits for changes of jobs and workers.
@@ -110,15 +112,19 @@
             ownerruns.check_run_timeouts(owner)
             ownerworkers.check_worker_timeouts(owner)
             _decide_if_due(owner)
-            # A fault in a report must not end the tenure.
+            # A fault in what only reports must not end the tenure.
             supervision.run_logged(
                 "pending_report_failed", pendingreports.report_if_due, owner
             )
+            supervision.run_logged(
+                "backlog_failed", ownerbacklog.publish_if_due, owner
+            )
             ownerruns.send_stops(owner)
             ownerrows.flush_rows(owner)
     finally:
         owner.tenure.ended.set()
         owner.batches.put(None)
+        owner.publisher.backlogs.put(None)
         for worker in owner.workers.values():
             fleet.close_worker(worker)
         for pool in (owner.start_pool, owner.stop_pool):
@@ -149,6 +155,11 @@
             ),
         )
     )
+    publishing.start_publisher(
+        publishing.PublisherContext(
+            owner.publisher, context.store, owner.tenure
+        )
+    )
 
 
 def _run_calls(owner: ownerstate.Owner) -> None:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -22,6 +22,7 @@
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import submission
+from cyclamenshelf_daemon.tasks.admission import publishing
 
 # Starts and stops have threads of their own: the stops of a cancelled job of
 # thousands of tasks must not keep the starts of others waiting.
@@ -93,6 +94,7 @@
             of the row and Unix time of the request, by job.
         sightings: When jobs were last known to run.
         report_due_ms: Monotonic time of the next report on pending jobs.
+        publisher: Publishes the backlog.
         pending_stops: Number of stops that are on their way.
         links: Context of the workers' renewal threads; set at the start.
         orders: Context of start and stop orders; set at the start.
@@ -130,6 +132,7 @@
         self.work = following.TableCopy(submission.WORK_TABLE)
         self.start_pool = concurrent.futures.ThreadPoolExecutor(_START_THREADS)
         self.stop_pool = concurrent.futures.ThreadPoolExecutor(_STOP_THREADS)
+        self.publisher = publishing.Publisher()
         self.pending_stops = 0
         self.links: links.LinkContext | None = None
         self.orders: orders.OrderContext | None = None
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -70,7 +70,7 @@
             ):
                 waiting.append(
                     planstate.WaitingGroup(
-                        _apply_queue_settings(entry.job, lists),
+                        apply_queue_settings(entry.job, lists),
                         group,
                         indexes,
                         _compute_slack_ms(entry, group, times.wall_ms),
@@ -358,7 +358,7 @@
     return [(usual, False)] * bool(usual) + [((i,), True) for i in suspected]
 
 
-def _apply_queue_settings(
+def apply_queue_settings(
     job: taskjobs.TaskJob, lists: queues.Lists
 ) -> taskjobs.TaskJob:
     """Return the job with the current settings of its queue, if it exists."""
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/submission.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/submission.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import enum
+import functools
 import json
 from typing import NamedTuple
 
@@ -18,6 +19,7 @@
 from cyclamenshelf_daemon.tasks import jobstates
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import queues
+from cyclamenshelf_daemon.tasks.admission import overloadcheck
 
 WORK_TABLE = "work"
 _READ_TIMEOUT_MS = 800
@@ -39,6 +41,13 @@
     UNKNOWN_KEY = enum.auto()
 
 
+class _Change(enum.Enum):
+    """Why an insert has to be decided on again."""
+
+    LISTS = enum.auto()
+    BACKLOG = enum.auto()
+
+
 class SubmissionContext(NamedTuple):
     """What submission and cancellation need.
 
@@ -46,6 +55,7 @@
         write_timeout: Timeout of writes; after a lost response, the next
             attempt finds out whether the write took effect.
         max_row_bytes: Size of the largest row that the store accepts.
+        overload: Refuses jobs under overload; None to accept all.
     """
 
     store: ports.Store
@@ -53,6 +63,7 @@
     clock: clocks.Clock
     write_timeout: adaptivetimeout.AdaptiveTimeout
     max_row_bytes: int = progresspages.DEFAULT_MAX_ROW_BYTES
+    overload: overloadcheck.OverloadContext | None = None
 
 
 class Caller(NamedTuple):
@@ -143,18 +154,24 @@
     steps: tuple[taskjobs.Step, ...],
     schedule: tuple[int, int, int],
     deadline_ms: int,
+    may_be_refused: bool = False,
 ) -> SubmissionOutcome:
     """Store a job on condition that the cached lists are current.
 
     The condition fails on a host whose lists are outdated, which then reads the
-    new ones. No job is accepted under lists that are no longer in force.
+    new ones. No job is accepted under lists that are no longer in force. A job
+    that may be refused is first inserted on the same condition for the backlog.
 
     Raises:
         errors.InvalidFieldError: The job is too large to be stored.
+        errors.OverloadedError: The job would end too late, and is not stored.
         errors.StoreUnavailableError: The job is not stored, and will not be.
         errors.OutcomeUnknownError: The job may or may not be stored.
     """
     attempts = iter(range(_MAX_WRITE_ATTEMPTS))
+    overload = context.overload if may_be_refused else None
+    checks = overloadcheck.make_checks(overload) if overload else {}
+    may_be_stored = functools.partial(_may_be_stored, context, job_id)
     while True:
         lists = context.cached_lists.lists
         admission = admit(lists, caller)
@@ -164,40 +181,61 @@
             admission, job_id, payload, steps, schedule, context.clock.wall_ms()
         )
         joblimits.check_row(job, context.max_row_bytes)
-        outcome = _insert(context, job, lists, deadline_ms, attempts)
-        if outcome is not None:
+        if overload:
+            account = admission.account
+            guaranteed = account.guaranteed if account else 0
+            overloadcheck.check_job(overload, job, guaranteed, may_be_stored)
+        outcome = _insert(context, job, lists, checks, deadline_ms, attempts)
+        if isinstance(outcome, SubmissionOutcome):
             return outcome
-        cachedlists.confirm(context.cached_lists, 0)
+        # The conflict has shown that the job is absent. Later inserts do not
+        # depend on the backlog: on a slow store none might ever succeed.
+        may_be_stored, checks = bool, {}
+        if outcome is _Change.LISTS:
+            cachedlists.confirm(context.cached_lists, 0)
+
+
+def _may_be_stored(context: SubmissionContext, job_id: str) -> bool:
+    """Return whether a job is stored, or that cannot be found out."""
+    try:
+        result = context.store.read_row(make_work_key(job_id), _READ_TIMEOUT_MS)
+        return bool(result.rows)
+    except errors.StoreUnavailableError:
+        return True
 
 
 def _insert(
     context: SubmissionContext,
     job: taskjobs.TaskJob,
     lists: queues.Lists,
+    backlog_checks: dict[ports.RowKey, int],
     deadline_ms: int,
     attempts: Iterator[int],
-) -> SubmissionOutcome | None:
+) -> SubmissionOutcome | _Change:
     """Insert a job under one version of the lists, unless it was cancelled.
 
     The same transaction is repeated until its outcome is known. A response that
-    was lost can therefore not be followed by a decision under newer lists.
+    was lost can therefore not be followed by a decision under newer lists, or
+    by a newer backlog.
 
     Args:
         context: What submission needs.
         job: The job.
         lists: The lists that admit it; an insert fails if they have changed.
+        backlog_checks: The same for the backlog; empty to disregard it.
         deadline_ms: Monotonic time after which no attempt is made.
         attempts: Numbers of the attempts that may be made.
 
     Returns:
-        The outcome, or None if the lists have changed: the job is not stored,
-        and none of the attempts can still succeed.
+        The outcome, or what has changed: the job is not stored, and none of
+        the attempts can still succeed.
 
     Raises:
         errors.StoreUnavailableError: The job is not stored, and will not be.
         errors.OutcomeUnknownError: The job may or may not be stored.
     """
-    transaction = _make_insert(job, context.cached_lists.key, lists)
+    insert = _make_insert(job, context.cached_lists.key, lists)
+    transaction = insert._replace(checks=insert.checks | backlog_checks)
     unanswered = 0
     for attempt in attempts:
         remaining_ms = deadline_ms - context.clock.now_ms()
@@ -212,7 +250,11 @@
                 return SubmissionOutcome.ALREADY_STORED
             if conflict.versions.get(make_cancel_key(job.id)):
                 return SubmissionOutcome.CANCELLED
-            return None
+            if context.overload:
+                overloadcheck.record_conflict(context.overload, conflict)
+            if context.cached_lists.key in conflict.versions:
+                return _Change.LISTS
+            return _Change.BACKLOG
         except errors.OutcomeUnknownError:
             unanswered += 1
             continue
@@ -222,6 +264,8 @@
             context.clock.sleep_ms(_RETRY_PAUSE_MS << attempt)
             continue
         _log_insert(job, lists, version, attempt, unanswered)
+        if context.overload:
+            overloadcheck.record_insert(context.overload, transaction)
         return SubmissionOutcome.STORED
     if unanswered:
         raise errors.OutcomeUnknownError(
--- a/testing/core/overload/test_admission.py
+++ b/testing/core/overload/test_admission.py
@@ -146,6 +146,15 @@
     assert decide(backlog, make_job(builders.make_step(1, 3))).refused
 
 
+def test_service_without_accelerators_refuses_jobs_that_need_none():
+    backlog = make_backlog((1, "account", 10**6))
+    service = backlog.services["service"]
+    capacity = service.capacity._replace(accelerators=0)
+    service = service._replace(capacity=capacity)
+    backlog = backlog._replace(services={"service": service})
+    assert decide(backlog, make_job(builders.make_step(1, 0))).refused
+
+
 @pytest.mark.parametrize(
     "change",
     [{"capacity": taskjobs.NO_RESOURCES}, {"held": {1: CAPACITY}}],
--- a/testing/daemon/tasks/histories.py
+++ b/testing/daemon/tasks/histories.py
@@ -23,6 +23,7 @@
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import submission
 from cyclamenshelf_daemon.tasks import writer
+from cyclamenshelf_daemon.tasks.admission import publishing
 
 WORKERS_TABLE = "workers"
 LEASE_MS = 6_000
@@ -235,9 +236,17 @@
         randoms = types.SimpleNamespace(
             Random=lambda: random.Random(self.generator.random())
         )
-        for module in (fleet, following, links, owners, ownership, writer):
+        for module in (
+            fleet,
+            following,
+            links,
+            owners,
+            ownership,
+            publishing,
+            writer,
+        ):
             self._patches.setattr(module, "threading", threads)
-        for module in (owners, ownerstate, writer):
+        for module in (owners, ownerstate, publishing, writer):
             self._patches.setattr(module, "queue", queued)
         for module in (following, writer):
             self._patches.setattr(module, "random", randoms)
--- a/testing/daemon/tasks/test_relay.py
+++ b/testing/daemon/tasks/test_relay.py
@@ -222,3 +222,13 @@
     manual_clock.advance(2_000)
     with pytest.raises(errors.ConfigurationUnconfirmedError):
         relay.handle_relayed_call(relay_context, lambda: LOCAL_RESPONSE)
+
+
+def test_refusal_of_a_peer_under_overload_is_not_asked_of_the_next_one(
+    relay_context, add_peer, manual_clock
+):
+    peers = [add_peer("p", status=429), add_peer("q", status=429)]
+    manual_clock.advance(10_000)
+    response = send_call(relay_context, fail_store_down)
+    assert response.status == 429
+    assert sum(len(peer.requests) for peer in peers) == 1
