--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -27,6 +27,8 @@
 from cyclamenshelf_daemon.tasks import relay as relays
 from cyclamenshelf_daemon.tasks import submission
 from cyclamenshelf_daemon.tasks import unresolvedjobs
+from cyclamenshelf_daemon.tasks.admission import knownbacklog
+from cyclamenshelf_daemon.tasks.admission import overloadcheck
 from cyclamenshelf_daemon.tasks.evacuation import requests
 from cyclamenshelf_daemon.tasks.failover import handover
 from cyclamenshelf_daemon.tasks.failover import leaserows
@@ -180,6 +182,13 @@
             clock,
             adaptivetimeout.AdaptiveTimeout(),
             context.max_row_bytes,
+            overloadcheck.OverloadContext(
+                knownbacklog.KnownBacklog(),
+                clock,
+                lambda: 1 + len(members.peers),
+                context.registry,
+                random.Random(),
+            ),
         ),
         unresolvedjobs.UnresolvedJobs(),
         owner_thread,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -24,6 +24,7 @@
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import submission
+from cyclamenshelf_daemon.tasks.admission import publishing
 from cyclamenshelf_daemon.tasks.evacuation import requests
 
 # Starts and stops have threads of their own: the stops of a cancelled job of
@@ -109,6 +110,7 @@
         paces: Pace of the best-effort tasks by worker, where they run beside
             latency-sensitive ones.
         report_due_ms: Monotonic time of the next report on pending jobs.
+        publisher: Publishes the backlog.
         pending_stops: Number of stops that are on their way.
         links: Context of the workers' renewal threads; set at the start.
         orders: Context of start and stop orders; set at the start.
@@ -153,6 +155,7 @@
         self.work = following.TableCopy(submission.WORK_TABLE)
         self.start_pool = concurrent.futures.ThreadPoolExecutor(_START_THREADS)
         self.stop_pool = concurrent.futures.ThreadPoolExecutor(_STOP_THREADS)
+        self.publisher = publishing.Publisher()
         self.pending_stops = 0
         self.links: links.LinkContext | None = None
         self.orders: orders.OrderContext | None = None
--- a/testing/daemon/tasks/histories.py
+++ b/testing/daemon/tasks/histories.py
@@ -25,6 +25,7 @@
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import submission
 from cyclamenshelf_daemon.tasks import writer
+from cyclamenshelf_daemon.tasks.admission import publishing
 from cyclamenshelf_daemon.tasks.failover import handover
 from cyclamenshelf_daemon.tasks.failover import leaserows
 
@@ -248,10 +249,11 @@
             links,
             owners,
             ownership,
+            publishing,
             writer,
         ):
             self._patches.setattr(module, "threading", threads)
-        for module in (owners, ownerstate, writer):
+        for module in (owners, ownerstate, publishing, writer):
             self._patches.setattr(module, "queue", queued)
         for module in (following, writer):
             self._patches.setattr(module, "random", randoms)
