Use the lease rows by their module in admission

Change: the owner's publishing reads the table and the key of the epoch from the module of the lease rows.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/admission/knownbacklog.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/admission/knownbacklog.py
@@ -12,10 +12,10 @@
 from cyclamenshelf_core.overload import admission
 from cyclamenshelf_core.overload import backlog as backlogs
 from cyclamenshelf_daemon import logs
-from cyclamenshelf_daemon.tasks import ownership
 from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks.failover import leaserows
 
-BACKLOG_KEY = ports.RowKey(ownership.TABLE, "backlog")
+BACKLOG_KEY = ports.RowKey(leaserows.TABLE, "backlog")
 # A backlog that was confirmed within this time is not checked again.
 _FRESH_MS = 1_000
 _MAX_REFUSALS = 1_000
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/admission/publishing.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/admission/publishing.py
@@ -11,6 +11,7 @@
 from cyclamenshelf_daemon.tasks import ownership
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks.admission import knownbacklog
+from cyclamenshelf_daemon.tasks.failover import leaserows
 
 # A backlog that takes longer to write is replaced by the next one.
 _WRITE_TIMEOUT_MS = 800
@@ -69,7 +70,7 @@
             _write_once(context, value)
         except errors.WriteConflictError as conflict:
             found = conflict.versions.get(knownbacklog.BACKLOG_KEY)
-            if found is None or ownership.EPOCH_KEY in conflict.versions:
+            if found is None or leaserows.EPOCH_KEY in conflict.versions:
                 return
             context.publisher.version = found
         except errors.StoreError as error:
@@ -84,7 +85,7 @@
     publisher.version = context.store.commit(
         ports.Transaction(
             {
-                ownership.EPOCH_KEY: tenure.epoch_version,
+                leaserows.EPOCH_KEY: tenure.epoch_version,
                 knownbacklog.BACKLOG_KEY: publisher.version,
             },
             {knownbacklog.BACKLOG_KEY: value},
