Learn the workers' speeds from reported progress, and place by them

Cause: a worker's speed was learned from single tasks only, by their ends, without the first four of a step. A worker of unknown speed counted as fast, and gangs mixed workers of both speeds, at the pace of the slowest.

Change: run times come from the progress, for gangs too. Groups' run times and workers' factors are fitted in turn (`workerprofiles.speeds`). Workers have ranks instead of a flag; an urgent gang takes the fastest workers that hold it and fills up from the slowest of these, another wastes as little speed as possible (`taskplacement.speedorder`). Among equals the worker of which the least stays over comes first, accelerators, cores and memory together (`taskplacement.fit`). Steps have an image, of which a worker may have a further factor.

--- a/packages/core/src/cyclamenshelf_core/freecapacity.py
+++ b/packages/core/src/cyclamenshelf_core/freecapacity.py
@@ -5,6 +5,12 @@
 from typing import NamedTuple
 
 from cyclamenshelf_core import taskjobs
+from cyclamenshelf_core.taskplacement import fit
+from cyclamenshelf_core.taskplacement import speedorder
+from cyclamenshelf_core.workerprofiles import speeds
+
+# Ranks by which a worker that is slow for the time being counts as slower.
+_SLOW_RANKS = 3
 
 
 class CandidateWorker(NamedTuple):
@@ -16,8 +22,11 @@
         free: Resources that are not allocated to any task.
         total: Resources of the worker when it is empty.
         suspect: Whether its latest tasks failed; others are preferred.
-        slow: Whether tasks take longer on it than on others.
+        slow: Whether tasks take longer on it for the time being, whatever its
+            learned speed.
         started_ms: Unix time of its start.
+        rank: Learned rank of its speed; see `speeds.get_rank`.
+        image_ranks: Rank for tasks of an image, where that differs.
     """
 
     id: str
@@ -29,6 +38,8 @@
     suspect: bool = False
     slow: bool = False
     started_ms: int = 0
+    rank: int = 0
+    image_ranks: dict[str, int] | None = None
 
 
 class FreeCapacity:
@@ -181,6 +192,8 @@
         allow_remote: Whether tasks may run off the rack of their data, and a
             gang on several racks, where they are slow.
         allowed_workers: Workers that may run the step; None for any.
+        urgent: Whether fast workers are preferred; others leave them to those
+            tasks.
     """
 
     job: taskjobs.TaskJob
@@ -190,31 +203,49 @@
     get_available: Callable[[str], taskjobs.Resources]
     allow_remote: bool
     allowed_workers: frozenset[str] | None = None
+    urgent: bool = False
+
+
+def get_rank(worker: CandidateWorker, step: taskjobs.Step) -> int:
+    """Return the rank of a worker's speed for the tasks of a step."""
+    rank = worker.rank
+    if worker.image_ranks and step.image in worker.image_ranks:
+        rank = worker.image_ranks[step.image]
+    return rank + _SLOW_RANKS if worker.slow else rank
 
 
 def find_workers(capacity: FreeCapacity, query: Query) -> list[str]:
     """Return a worker for each task of a step that can be placed.
 
     A gang is placed as a whole or not at all. Workers on the rack of the data
-    come first. Priority 0 prefers workers that are not slow, and other
-    priorities leave these to it. Among equal workers the one with the least
-    available capacity comes first, so that whole workers stay free for large
-    tasks.
+    come first. Urgent tasks prefer fast workers, and others leave these to
+    them; see `speedorder`. Among equal workers the one of which the least
+    remains comes first, so that whole workers stay free for large tasks.
     """
-    job, step = query.job, query.job.steps[query.step_number]
+    step = query.job.steps[query.step_number]
     slots = list_slots(capacity, query)
     if step.gang and sum(slots.values()) < query.tasks:
         return []
 
+    workers = capacity.workers
+    ranks = {name: get_rank(workers[name], step) for name in slots}
+    ordered = speedorder.order_ranks(
+        speedorder.count_slots(ranks, slots),
+        query.tasks,
+        step.gang,
+        query.urgent,
+    )
+    places = {rank: place for place, rank in enumerate(ordered)}
+
     def get_key(worker_id: str) -> tuple:
-        available = query.get_available(worker_id)
-        worker = capacity.workers[worker_id]
+        worker = workers[worker_id]
         return (
             bool(step.data_rack) and step.data_rack != worker.rack,
             worker.suspect,
-            worker.slow is (job.priority == 0),
-            available.accelerators,
-            available.cpu_millis,
+            places[ranks[worker_id]],
+            fit.compute_remainder(
+                query.get_available(worker_id), step.need, worker.total
+            ),
             worker_id,
         )
 
@@ -246,9 +277,7 @@
     required_rack = "" if query.allow_remote else step.data_rack
     slots = _count_slots(capacity, query, required_rack)
     if step.gang and step.same_rack:
-        rack_slots = _choose_rack(
-            capacity, slots, query.tasks, step.data_rack, get_cost
-        )
+        rack_slots = _choose_rack(capacity, slots, query, get_cost)
         if rack_slots is not None:
             return rack_slots
         if not query.allow_remote:
@@ -293,23 +322,34 @@
 def _choose_rack(
     capacity: FreeCapacity,
     slots: dict[str, int],
-    tasks: int,
-    data_rack: str,
+    query: Query,
     get_cost: Callable[[str], float],
 ) -> dict[str, int] | None:
     """Return the slots of the best rack for a gang, or None.
 
     The rack of the data is preferred, then the rack with the lowest cost,
-    then the one with the fewest slots.
+    which for an urgent gang grows with its run time there, then the one with
+    the fewest slots.
     """
+    step, tasks = query.job.steps[query.step_number], query.tasks
+    workers = capacity.workers
+
+    def get_rack_cost(rack_slots: dict[str, int]) -> float:
+        cost = 1 + _sum_costs(rack_slots, tasks, get_cost)
+        if not query.urgent:
+            return cost
+        ranks = {name: get_rank(workers[name], step) for name in rack_slots}
+        slowest = speedorder.find_slowest(ranks, rack_slots, tasks)
+        return cost * speeds.get_run_factor(slowest)
+
     racks: dict[str, dict[str, int]] = {}
     for worker_id, count in slots.items():
         rack = capacity.workers[worker_id].rack
         racks.setdefault(rack, {})[worker_id] = count
     candidates = [
         (
-            rack != data_rack,
-            _sum_costs(rack_slots, tasks, get_cost),
+            rack != step.data_rack,
+            get_rack_cost(rack_slots),
             sum(rack_slots.values()),
             rack,
         )
--- a/packages/core/src/cyclamenshelf_core/planisolation.py
+++ b/packages/core/src/cyclamenshelf_core/planisolation.py
@@ -54,6 +54,7 @@
     slots = freecapacity.list_slots(
         state.capacity,
         plansearch.make_query(
+            state,
             entry,
             freecapacity.list_fitting(state.capacity, entry.job, step),
             state.capacity.free.__getitem__,
--- a/packages/core/src/cyclamenshelf_core/planpreemption.py
+++ b/packages/core/src/cyclamenshelf_core/planpreemption.py
@@ -48,6 +48,7 @@
     slots = freecapacity.list_slots(
         state.capacity,
         plansearch.make_query(
+            state,
             entry,
             freecapacity.list_eligible(state.capacity, entry.job, step),
             get_available,
@@ -68,7 +69,7 @@
                 state.get_soon_free(name),
                 state.capacity.workers[name].rack,
                 state.capacity.workers[name].suspect,
-                state.capacity.workers[name].slow,
+                freecapacity.get_rank(state.capacity.workers[name], step) > 0,
             )
             for name in slots
         },
--- a/packages/core/src/cyclamenshelf_core/plansearch.py
+++ b/packages/core/src/cyclamenshelf_core/plansearch.py
@@ -6,6 +6,7 @@
 from cyclamenshelf_core import planstate
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import waitlimit
+from cyclamenshelf_core.workerprofiles import speeds
 
 
 def is_remote_preferable(
@@ -62,6 +63,7 @@
     found = _search_workers(
         state,
         make_query(
+            state,
             entry,
             freecapacity.list_fitting(state.capacity, entry.job, step),
             state.capacity.free.__getitem__,
@@ -93,12 +95,15 @@
             candidates[worker_id] = worker
     return _search_workers(
         state,
-        make_query(entry, list(candidates.values()), state.get_soon_free),
+        make_query(
+            state, entry, list(candidates.values()), state.get_soon_free
+        ),
         allow_remote,
     )
 
 
 def make_query(
+    state: planstate.PlanningState,
     entry: planstate.WaitingGroup,
     candidates: list[freecapacity.CandidateWorker],
     get_available: Callable[[str], taskjobs.Resources],
@@ -113,9 +118,21 @@
         get_available,
         allow_remote,
         entry.allowed_workers,
+        _needs_fast_workers(state, entry),
     )
 
 
+def _needs_fast_workers(
+    state: planstate.PlanningState, entry: planstate.WaitingGroup
+) -> bool:
+    """Return whether a group is urgent, or late if it runs on a slow worker."""
+    if entry.job.priority == 0:
+        return True
+    run_ms = entry.job.steps[entry.group.step].expected_run_ms
+    added_ms = run_ms * (speeds.get_run_factor(state.slowest_rank) - 1)
+    return 0 <= entry.slack_ms < added_ms
+
+
 def _search_workers(
     state: planstate.PlanningState,
     query: freecapacity.Query,
--- a/packages/core/src/cyclamenshelf_core/planstate.py
+++ b/packages/core/src/cyclamenshelf_core/planstate.py
@@ -81,6 +81,7 @@
             shrinks within a decision, unless `forget_searches` is called.
         idle_services: Services of which less than half is in use; None until
             they are found from the workers that accept tasks.
+        slowest_rank: Rank of the slowest worker that accepts tasks.
     """
 
     def __init__(
@@ -107,6 +108,9 @@
         self.isolated = isolated
         self.unplaceable: dict[Shape, int] = {}
         self.idle_services = idle_services
+        self.slowest_rank = max(
+            (worker.rank for worker in workers.values()), default=0
+        )
 
     def get_soon_free(self, worker_id: str) -> taskjobs.Resources:
         """Return the resources that are free or being released."""
--- a/packages/core/src/cyclamenshelf_core/taskjobs.py
+++ b/packages/core/src/cyclamenshelf_core/taskjobs.py
@@ -48,6 +48,8 @@
             same worker.
         tail_target_ms: Tail latency that latency-sensitive tasks, which serve
             users of their own, must stay below; 0 for other tasks.
+        image: What the tasks run; tasks of the same image behave alike. Empty
+            if not known.
     """
 
     tasks: int
@@ -64,6 +66,7 @@
     long_running: bool = False
     fills: bool = False
     tail_target_ms: int = 0
+    image: str = ""
 
 
 class TaskJob(NamedTuple):
--- /dev/null
+++ b/packages/core/src/cyclamenshelf_core/workerprofiles/__init__.py
@@ -0,0 +1,1 @@
+"""What the scheduler learns about workers and run times from the tasks."""
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -10,7 +10,8 @@
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_core import urgentdemand
 from cyclamenshelf_core import workerlosses
-from cyclamenshelf_core import workerspeeds
+from cyclamenshelf_core.workerprofiles import runprogress
+from cyclamenshelf_core.workerprofiles import speeds
 from cyclamenshelf_daemon import logs
 
 _RUNS_PER_EPOCH = 1_000_000
@@ -50,6 +51,9 @@
             where thousands wait for their turn.
         first_stop_ms: Monotonic time at which a stop was first sent.
         checkpoint: Latest checkpoint that the worker has listed.
+        progress: Progress of its work that the worker has reported.
+        learned_percent: Length of the part of its work from which its run time
+            was last learned.
         reason: Why it is being stopped.
         isolated: Whether its worker gets no other tasks meanwhile.
     """
@@ -74,6 +78,8 @@
         self.stop_failed_ms: int | None = None
         self.first_stop_ms: int | None = None
         self.checkpoint = ""
+        self.progress: runprogress.Progress | None = None
+        self.learned_percent = 0
         self.reason = ""
         self.isolated = isolated
 
@@ -148,7 +154,7 @@
         lost_workers: Workers that were lost, by the same key.
         suspected_runs: Runs that were recorded as lost, by the worker and the
             start time of its incarnation.
-        speeds: Estimates of the workers' speeds.
+        speeds: What is known of the workers' speeds.
         urgent_demand: Recent demand of priority 0.
         fleet: Workers by which it is decided whether work can ever run.
     """
@@ -170,7 +176,7 @@
         self.suspected_runs: dict[
             tuple[str, int], list[tuple[taskjobs.Task, int]]
         ] = {}
-        self.speeds = workerspeeds.SpeedEstimates()
+        self.speeds = speeds.Profiles()
         self.urgent_demand = urgentdemand.UrgentDemand()
         self.fleet = feasibility.Fleet()
 
@@ -381,7 +387,6 @@
     entry.progress.ended_ms = wall_ms
     entry.progress.checkpoints.clear()
     entry.dirty = True
-    workerspeeds.forget_job(ledger.speeds, entry.job.id)
     logs.log_event(
         "job_ended",
         job=entry.job.id,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -33,6 +33,7 @@
 from cyclamenshelf_daemon.tasks import suspension
 from cyclamenshelf_daemon.tasks import waitreports
 from cyclamenshelf_daemon.tasks import writer
+from cyclamenshelf_daemon.tasks.workerprofiles import learning
 
 _TICK_MS = 200
 # How long a call to the store waits for changes of jobs and workers.
@@ -109,6 +110,7 @@
             _run_calls(owner)
             ownerruns.check_run_timeouts(owner)
             ownerworkers.check_worker_timeouts(owner)
+            learning.learn_if_due(owner)
             _decide_if_due(owner)
             # A fault in a report must not end the tenure.
             supervision.run_logged(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -92,6 +92,8 @@
         lone_cancellations: Cancellations of jobs that are not stored: version
             of the row and Unix time of the request, by job.
         sightings: When jobs were last known to run.
+        learned_ms: Monotonic time at which the workers' speeds were last
+            updated.
         report_due_ms: Monotonic time of the next report on pending jobs.
         pending_stops: Number of stops that are on their way.
         links: Context of the workers' renewal threads; set at the start.
@@ -112,6 +114,7 @@
         self.decision = pendingreasons.NO_DECISION
         self.lone_cancellations: dict[str, tuple[int, int]] = {}
         self.sightings = pendingjobs.Sightings()
+        self.learned_ms = 0
         self.report_due_ms = 0
         self.unconfirmed_workers: set[str] = set()
         self.unconfirmed_until_ms = (
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
@@ -1,6 +1,6 @@
 """Workers of the owner: added, updated, drained and removed."""
 
-from cyclamenshelf_core import workerspeeds
+from cyclamenshelf_core.workerprofiles import speeds
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import following
@@ -256,7 +256,7 @@
         ownerstate.read_times(owner),
     )
     fleet.close_worker(worker)
-    workerspeeds.forget_worker(owner.ledger.speeds, worker.info.id)
+    speeds.forget_worker(owner.ledger.speeds, worker.info.id)
     del owner.workers[worker.info.id]
     owner.unconfirmed_workers.discard(worker.info.id)
     owner.changed = True
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -14,7 +14,7 @@
 from cyclamenshelf_core import victimcosts
 from cyclamenshelf_core import waitlimit
 from cyclamenshelf_core import workerlosses
-from cyclamenshelf_core import workerspeeds
+from cyclamenshelf_core.workerprofiles import speeds
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import lostworkers
@@ -228,7 +228,10 @@
     return fleet.get_free_capacity(
         worker,
         ledger.used.get(worker.info.id, taskjobs.NO_RESOURCES),
-        workerspeeds.is_slow(ledger.speeds, worker.info.id),
+        slow=False,
+    )._replace(
+        rank=speeds.get_rank(ledger.speeds, worker.info.id),
+        image_ranks=speeds.list_image_ranks(ledger.speeds, worker.info.id),
     )
 
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
@@ -112,11 +112,17 @@
 
 
 class RunningTask(NamedTuple):
-    """A task run that is in progress on a worker."""
+    """A task run that is in progress on a worker.
+
+    Attributes:
+        percent: How much of the task's work is done; 100 for the member of a
+            gang that waits for the others.
+    """
 
     name: str
     run: int
     checkpoint: str
+    percent: int = 0
 
 
 class EndedTask(NamedTuple):
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
@@ -7,7 +7,7 @@
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_core import workerlosses
-from cyclamenshelf_core import workerspeeds
+from cyclamenshelf_core.workerprofiles import speeds
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
@@ -15,6 +15,7 @@
 from cyclamenshelf_daemon.tasks import planning
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import runends
+from cyclamenshelf_daemon.tasks.workerprofiles import samples
 
 StopOrphan = Callable[[fleet.Worker, str, int], None]
 
@@ -82,7 +83,7 @@
     given_up = lostworkers.record_lost_worker(
         ledger, worker, workers, times.now_ms
     )
-    workerspeeds.forget_worker(ledger.speeds, worker.info.id)
+    speeds.forget_worker(ledger.speeds, worker.info.id)
     for run in ledgers.list_worker_runs(ledger, worker.info.id):
         if run.phase is ledgers.Phase.PLANNED:
             ledgers.stop_run(ledger, run, "worker_reborn")
@@ -165,6 +166,9 @@
         run.number == running.run and run.worker_id == worker.info.id
     ):
         _update_run(run, running, times.now_ms)
+        samples.record_report(
+            ledger, worker, run, times.now_ms, running.percent
+        )
         return
     job_ended = entry.progress.state in taskprogress.ENDED
     task_done = task.index in entry.progress.done.get(task.group, ())
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/runends.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/runends.py
@@ -3,11 +3,11 @@
 from cyclamenshelf_core import progresspages
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
-from cyclamenshelf_core import workerspeeds
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks.workerprofiles import samples
 
 
 def apply_end(
@@ -29,7 +29,7 @@
     ):
         ledgers.remove_run(ledger, run)
         if end.kind is ports.EndKind.DONE:
-            _record_run_time(ledger, entry, run, now_ms)
+            samples.record_end(ledger, worker, run, now_ms)
         else:
             ledgers.stop_other_members(ledger, run, f"member_{end.kind}")
     logs.log_event(
@@ -52,29 +52,6 @@
         )
 
 
-def _record_run_time(
-    ledger: ledgers.Ledger,
-    entry: ledgers.JobEntry,
-    run: ledgers.Run,
-    now_ms: int,
-) -> None:
-    """Record the run time of a task that is comparable with its group's.
-
-    A member of a gang waits for the slowest one, a task off the rack of its
-    data is slow anywhere, and a resumed task did only part of its work.
-    """
-    step = entry.job.steps[run.task.group.step]
-    if step.gang or step.data_rack or step.long_running:
-        return
-    if entry.progress.state in taskprogress.ENDED:
-        return
-    if run.task in entry.progress.checkpoints:
-        return
-    workerspeeds.record_run(
-        ledger.speeds, run.task.group, run.worker_id, now_ms - run.since_ms
-    )
-
-
 def _apply_to_job(
     ledger: ledgers.Ledger,
     worker: fleet.Worker,
