Expect learned run times, and wait for a rack only while that ends sooner

Cause: the slack of a job came from its caller's estimate, which is up to 90% off: a job that declares a tenth of its run time seems late at once and is served last. A group whose rack is full waited until its slack was gone, and then ran three times as long elsewhere, although its rack may have been free after a second.

Change: of each queue and image a line is fitted to the logarithms of declared and observed run times; a step that has run counts by itself (`workerprofiles.runestimates`). A group goes off its rack if it ends sooner there, by the expected ends on the rack (`taskplacement.remotewait`) and the setting `bounds.remote_penalty`.

--- a/packages/core/src/cyclamenshelf_core/plansearch.py
+++ b/packages/core/src/cyclamenshelf_core/plansearch.py
@@ -5,37 +5,131 @@
 from cyclamenshelf_core import freecapacity
 from cyclamenshelf_core import planstate
 from cyclamenshelf_core import taskjobs
+from cyclamenshelf_core import victimcosts
 from cyclamenshelf_core import waitlimit
+from cyclamenshelf_core.taskplacement import remotewait
 from cyclamenshelf_core.workerprofiles import speeds
 
+# Time after which a task that is stopped for another has released its worker.
+_STOP_MS = 500
+
 
 def is_remote_preferable(
     state: planstate.PlanningState, entry: planstate.WaitingGroup
 ) -> bool:
     """Return whether slow placement is preferable to waiting.
 
-    This holds if the group already misses its objective, if it has waited for
-    long beside idle workers, if no rack could hold the gang even when empty,
-    or if no eligible worker is on the rack of its data.
+    This holds if the group has waited for long beside idle workers, if no rack
+    could hold the gang even when empty, if no eligible worker is on the rack of
+    its data, or if the group ends sooner elsewhere; if it is not known when
+    its rack becomes free, once the group misses its objective.
     """
     step = entry.job.steps[entry.group.step]
-    if entry.slack_ms < 0 or waitlimit.is_reached(state, entry):
+    one_rack = step.gang and step.same_rack
+    if not step.data_rack and not one_rack:
+        return False
+    if waitlimit.is_reached(state, entry):
         return True
-    if step.gang and step.same_rack:
+    if one_rack:
         slots = freecapacity.count_slots_of_largest_rack(
             state.capacity, entry.job, step
         )
         if slots < len(entry.indexes):
             return True
-    if not step.data_rack:
-        return False
-    return not any(
-        step.data_rack == worker.rack
-        and freecapacity.is_eligible(worker, entry.job, step)
-        for worker in state.capacity.workers.values()
+    racks = _list_preferred_racks(state, entry)
+    if step.data_rack and not racks:
+        return True
+    shortest_ms: int | None = None
+    for rack, workers in racks.items():
+        wait_ms = _estimate_wait_ms(state, entry, rack, workers)
+        if wait_ms is not None and (
+            shortest_ms is None or wait_ms < shortest_ms
+        ):
+            shortest_ms = wait_ms
+        if shortest_ms == 0:
+            return False
+    if shortest_ms is None:
+        return entry.slack_ms < 0
+    return remotewait.is_sooner_elsewhere(
+        shortest_ms, step.expected_run_ms, state.outlook.remote_penalty
+    )
+
+
+def _list_preferred_racks(
+    state: planstate.PlanningState, entry: planstate.WaitingGroup
+) -> dict[str, list[freecapacity.CandidateWorker]]:
+    """Return the eligible workers of the racks where a group runs fast."""
+    step = entry.job.steps[entry.group.step]
+    racks: dict[str, list[freecapacity.CandidateWorker]] = {}
+    for worker in freecapacity.list_eligible(state.capacity, entry.job, step):
+        if step.data_rack in ("", worker.rack):
+            racks.setdefault(worker.rack, []).append(worker)
+    return racks
+
+
+def _estimate_wait_ms(
+    state: planstate.PlanningState,
+    entry: planstate.WaitingGroup,
+    rack: str,
+    workers: list[freecapacity.CandidateWorker],
+) -> int | None:
+    """Return how long until a group fits on a rack, or None if not known.
+
+    Tasks outside a gang start one by one, as soon as one fits.
+    """
+    step = entry.job.steps[entry.group.step]
+    tasks = len(entry.indexes) if step.gang else 1
+    free = {
+        worker.id: state.capacity.free[worker.id]
+        for worker in workers
+        if entry.allowed_workers is None or worker.id in entry.allowed_workers
+    }
+    wait_ms = remotewait.estimate_wait_ms(free, (), step.need, tasks)
+    if wait_ms is not None:
+        return wait_ms
+    if entry.job.priority == 0:
+        preemptor = victimcosts.Preemptor(0, entry.guaranteed)
+        preemptible = {
+            name: taskjobs.add(
+                state.get_soon_free(name),
+                state.victims.get_preemptible(name, preemptor),
+            )
+            for name in free
+        }
+        if remotewait.estimate_wait_ms(preemptible, (), step.need, tasks) == 0:
+            return _STOP_MS
+    return remotewait.estimate_wait_ms(
+        free, _list_releases(state, rack), step.need, tasks
     )
 
 
+def _list_releases(
+    state: planstate.PlanningState, rack: str
+) -> list[remotewait.Release]:
+    """Return what the tasks that run on a rack are expected to release."""
+    releases = state.releases.get(rack)
+    if releases is None:
+        releases = state.releases[rack] = []
+        for worker in state.capacity.workers.values():
+            if worker.rack != rack:
+                continue
+            for held in state.victims.by_worker.get(worker.id, ()):
+                wait_ms = _estimate_release_ms(state, held)
+                if wait_ms is not None:
+                    releases.append(
+                        remotewait.Release(wait_ms, worker.id, held.need)
+                    )
+    return releases
+
+
+def _estimate_release_ms(
+    state: planstate.PlanningState, held: victimcosts.Allocation
+) -> int | None:
+    if held.stopping or held.task in state.victims.chosen:
+        return _STOP_MS
+    return state.outlook.get_remaining_ms(held.task)
+
+
 def find_free(
     state: planstate.PlanningState,
     entry: planstate.WaitingGroup,
--- a/packages/core/src/cyclamenshelf_core/planstate.py
+++ b/packages/core/src/cyclamenshelf_core/planstate.py
@@ -1,10 +1,12 @@
 """State of one decision of the task planner."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from cyclamenshelf_core import freecapacity
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import victimcosts
+from cyclamenshelf_core.taskplacement import remotewait
 
 
 class WaitingGroup(NamedTuple):
@@ -52,6 +54,24 @@
     beneficiary: taskjobs.Group
 
 
+class Outlook(NamedTuple):
+    """What is expected of run times.
+
+    Attributes:
+        remote_penalty: How many times as long a task takes off the rack that
+            it prefers.
+        get_remaining_ms: Returns how long a running task is expected to go on;
+            None if that is not known.
+    """
+
+    remote_penalty: float
+    get_remaining_ms: Callable[[taskjobs.Task], int | None]
+
+
+# Used where nothing is known.
+NO_OUTLOOK = Outlook(3.0, lambda task: None)
+
+
 class Shape(NamedTuple):
     """The properties that decide where the tasks of a group can be placed."""
 
@@ -81,6 +101,8 @@
             shrinks within a decision, unless `forget_searches` is called.
         idle_services: Services of which less than half is in use; None until
             they are found from the workers that accept tasks.
+        outlook: What is expected of run times.
+        releases: Cache of what tasks of a rack will release, by rack.
         slowest_rank: Rank of the slowest worker that accepts tasks.
     """
 
@@ -91,6 +113,7 @@
         counts: dict[tuple[str, int, str], int],
         isolated: int = 0,
         idle_services: frozenset[str] | None = None,
+        outlook: Outlook = NO_OUTLOOK,
     ) -> None:
         self.capacity = freecapacity.FreeCapacity(workers, counts)
         for allocation in held:
@@ -108,6 +131,8 @@
         self.isolated = isolated
         self.unplaceable: dict[Shape, int] = {}
         self.idle_services = idle_services
+        self.outlook = outlook
+        self.releases: dict[str, list[remotewait.Release]] = {}
         self.slowest_rank = max(
             (worker.rank for worker in workers.values()), default=0
         )
--- a/packages/core/src/cyclamenshelf_core/taskplacement/remotewait.py
+++ b/packages/core/src/cyclamenshelf_core/taskplacement/remotewait.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Iterable
-import heapq
 from typing import NamedTuple
 
 from cyclamenshelf_core import taskjobs
@@ -31,7 +30,7 @@
     need: taskjobs.Resources,
     tasks: int,
 ) -> int | None:
-    """Return how long until a number of tasks fits, or None if it never does.
+    """Return how long until a number of tasks fits, or None if not known.
 
     Args:
         free: Free resources of the workers that may run the tasks.
@@ -45,11 +44,10 @@
     missing = tasks - sum(slots.values())
     if missing <= 0:
         return 0
-    queue = [release for release in releases if release.worker_id in free]
-    heapq.heapify(queue)
-    while queue:
-        release = heapq.heappop(queue)
+    for release in sorted(releases):
         name = release.worker_id
+        if name not in free:
+            continue
         free[name] = taskjobs.add(free[name], release.resources)
         count = taskjobs.count_fitting(free[name], need)
         missing -= count - slots[name]
--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -47,6 +47,7 @@
     urgent_headroom: dict[str, int],
     isolated_workers: int = 0,
     idle_services: frozenset[str] | None = None,
+    outlook: planstate.Outlook = planstate.NO_OUTLOOK,
 ) -> Plan:
     """Return the tasks to start and to stop.
 
@@ -60,9 +61,10 @@
         isolated_workers: Number of workers that run isolated tasks; they are
             not among `workers`.
         idle_services: See `planstate.PlanningState`.
+        outlook: What is expected of run times.
     """
     state = planstate.PlanningState(
-        workers, held, counts, isolated_workers, idle_services
+        workers, held, counts, isolated_workers, idle_services, outlook
     )
     kept = headroom.Headroom(urgent_headroom)
     for entry in sorted(waiting, key=_get_sort_key):
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_core import planstate
 from cyclamenshelf_core import progresspages
 from cyclamenshelf_daemon import httpclient
 from cyclamenshelf_daemon import logs
@@ -53,6 +54,7 @@
         registry: Keeps the host's metrics.
         advise: See `ownerstate.OwnerContext`.
         max_row_bytes: Size of the largest row that the store accepts.
+        remote_penalty: See `ownerstate.OwnerContext`.
     """
 
     store: ports.Store
@@ -73,6 +75,7 @@
     registry: metrics.Metrics
     advise: ports.Advise | None = None
     max_row_bytes: int = progresspages.DEFAULT_MAX_ROW_BYTES
+    remote_penalty: float = planstate.NO_OUTLOOK.remote_penalty
 
 
 class Host(NamedTuple):
@@ -117,6 +120,7 @@
         context.registry,
         context.advise,
         context.max_row_bytes,
+        context.remote_penalty,
     )
     owner_thread = ownership.start_lease_thread(
         ownership.OwnershipContext(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -10,6 +10,7 @@
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_core import urgentdemand
 from cyclamenshelf_core import workerlosses
+from cyclamenshelf_core.workerprofiles import runestimates
 from cyclamenshelf_core.workerprofiles import runprogress
 from cyclamenshelf_core.workerprofiles import speeds
 from cyclamenshelf_daemon import logs
@@ -56,6 +57,7 @@
             was last learned.
         reason: Why it is being stopped.
         isolated: Whether its worker gets no other tasks meanwhile.
+        off_rack: Whether it was started off the rack that its step prefers.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         self.learned_percent = 0
         self.reason = ""
         self.isolated = isolated
+        self.off_rack = False
 
 
 class JobEntry:
@@ -155,6 +158,7 @@
         suspected_runs: Runs that were recorded as lost, by the worker and the
             start time of its incarnation.
         speeds: What is known of the workers' speeds.
+        run_times: What is known of the run times of steps.
         urgent_demand: Recent demand of priority 0.
         fleet: Workers by which it is decided whether work can ever run.
     """
@@ -177,6 +181,7 @@
             tuple[str, int], list[tuple[taskjobs.Task, int]]
         ] = {}
         self.speeds = speeds.Profiles()
+        self.run_times = runestimates.RunTimes()
         self.urgent_demand = urgentdemand.UrgentDemand()
         self.fleet = feasibility.Fleet()
 
@@ -387,6 +392,7 @@
     entry.progress.ended_ms = wall_ms
     entry.progress.checkpoints.clear()
     entry.dirty = True
+    runestimates.forget_job(ledger.run_times, entry.job.id)
     logs.log_event(
         "job_ended",
         job=entry.job.id,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -255,6 +255,12 @@
         planning.list_idle_services(
             owner.ledger, owner.workers.values(), times.now_ms
         ),
+        planstate.Outlook(
+            owner.context.remote_penalty,
+            lambda task: planning.estimate_remaining_ms(
+                owner.ledger, task, times.now_ms
+            ),
+        ),
     )
     owner.decision = pendingreasons.Decision(
         waiting, impossible, decision.blocked, headroom
@@ -291,6 +297,7 @@
 ) -> None:
     entry = owner.ledger.jobs[start.group.job_id]
     number = ledgers.allocate_run_number(owner.ledger)
+    off_rack = learning.is_off_rack(owner, entry.job, start)
     logs.log_event(
         "group_started",
         job=entry.job.id,
@@ -299,13 +306,13 @@
         tasks=len(start.placements),
         run=number,
         isolated=start.isolated,
+        off_rack=off_rack,
         spare_ms=slack_ms,
         age_ms=owner.context.clock.wall_ms() - entry.job.accepted_ms,
     )
     for index, worker_id in start.placements:
         task = taskjobs.Task(start.group, index)
-        ledgers.add_run(
-            owner.ledger,
-            ledgers.Run(task, number, worker_id, now_ms, start.isolated),
-        )
+        run = ledgers.Run(task, number, worker_id, now_ms, start.isolated)
+        run.off_rack = off_rack
+        ledgers.add_run(owner.ledger, run)
     entry.dirty = True
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_core import planstate
 from cyclamenshelf_core import progresspages
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon import metrics
@@ -50,6 +51,8 @@
         advise: Requests which workers may run a step; None without a
             recommendation service.
         max_row_bytes: Size of the largest row that the store accepts.
+        remote_penalty: How many times as long a task takes off the rack that
+            it prefers.
     """
 
     store: ports.Store
@@ -64,6 +67,7 @@
     registry: metrics.Metrics
     advise: ports.Advise | None = None
     max_row_bytes: int = progresspages.DEFAULT_MAX_ROW_BYTES
+    remote_penalty: float = planstate.NO_OUTLOOK.remote_penalty
 
 
 class Owner:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/workerprofiles/samples.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/workerprofiles/samples.py
@@ -1,7 +1,10 @@
 """Run times of the owner's tasks, from which the speeds are learned."""
 
+import math
+
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_core import taskprogress
+from cyclamenshelf_core.workerprofiles import runestimates
 from cyclamenshelf_core.workerprofiles import runprogress
 from cyclamenshelf_core.workerprofiles import speeds
 from cyclamenshelf_daemon.tasks import fleet
@@ -83,3 +86,16 @@
         step.image,
         log_error,
     )
+    if run.off_rack:
+        return
+    log_factor = speeds.get_log_factor(
+        ledger.speeds, worker.info.id, step.image
+    )
+    runestimates.record_run(
+        ledger.run_times,
+        runestimates.Kind(entry.job.queue, step.image),
+        group.job_id,
+        group.step,
+        step.expected_run_ms,
+        run_ms / math.exp(log_factor or 0.0),
+    )
