Keep what was learned of workers over a change of the owner

Cause: a new owner placed blindly until it had learned again.

Change: the owner writes what it knows to the table `profiles` with the progress of jobs, at most every 5 s, one row for 200 workers. A new owner reads the rows beside its other work and uses each speed once its worker is listed with the same start time. Lost and malformed rows only cost knowledge. For urgent gangs without a data rack the wait isn't estimated, as a search over all racks took a tenth of a decision.

The takeover histories run the new thread on their virtual clock as well; without that they waited for ever.

--- a/packages/core/src/cyclamenshelf_core/freecapacity.py
+++ b/packages/core/src/cyclamenshelf_core/freecapacity.py
@@ -55,6 +55,7 @@
             need, at the last search. No others can follow, as free capacity
             only shrinks until the cache is cleared.
         rack_slots: Cache of `count_slots_of_largest_rack`.
+        equal_speeds: Whether all workers are equally fast.
         best_effort_workers: Workers that run best-effort tasks.
         latency_sensitive_workers: Workers that run latency-sensitive tasks.
     """
@@ -72,6 +73,10 @@
             tuple[str, str, taskjobs.Resources], list[CandidateWorker]
         ] = {}
         self.rack_slots: dict[tuple, int] = {}
+        self.equal_speeds = not any(
+            worker.rank or worker.slow or worker.image_ranks
+            for worker in workers.values()
+        )
         self.best_effort_workers: set[str] = set()
         self.latency_sensitive_workers: set[str] = set()
 
@@ -336,7 +341,7 @@
 
     def get_rack_cost(rack_slots: dict[str, int]) -> float:
         cost = 1 + _sum_costs(rack_slots, tasks, get_cost)
-        if not query.urgent:
+        if not query.urgent or capacity.equal_speeds:
             return cost
         ranks = {name: get_rank(workers[name], step) for name in rack_slots}
         slowest = speedorder.find_slowest(ranks, rack_slots, tasks)
--- a/packages/core/src/cyclamenshelf_core/plansearch.py
+++ b/packages/core/src/cyclamenshelf_core/plansearch.py
@@ -36,9 +36,26 @@
         )
         if slots < len(entry.indexes):
             return True
+    if entry.job.priority == 0 and not step.data_rack:
+        # Stops make room for it on some rack within the time of a search.
+        return entry.slack_ms < 0
     racks = _list_preferred_racks(state, entry)
     if step.data_rack and not racks:
         return True
+    wait_ms = _find_shortest_wait(state, entry, racks)
+    if wait_ms is None:
+        return entry.slack_ms < 0
+    return remotewait.is_sooner_elsewhere(
+        wait_ms, step.expected_run_ms, state.outlook.remote_penalty
+    )
+
+
+def _find_shortest_wait(
+    state: planstate.PlanningState,
+    entry: planstate.WaitingGroup,
+    racks: dict[str, list[freecapacity.CandidateWorker]],
+) -> int | None:
+    """Return how long until a group fits on one of its racks, if known."""
     shortest_ms: int | None = None
     for rack, workers in racks.items():
         wait_ms = _estimate_wait_ms(state, entry, rack, workers)
@@ -47,12 +64,8 @@
         ):
             shortest_ms = wait_ms
         if shortest_ms == 0:
-            return False
-    if shortest_ms is None:
-        return entry.slack_ms < 0
-    return remotewait.is_sooner_elsewhere(
-        shortest_ms, step.expected_run_ms, state.outlook.remote_penalty
-    )
+            break
+    return shortest_ms
 
 
 def _list_preferred_racks(
--- a/packages/core/src/cyclamenshelf_core/workerprofiles/runestimates.py
+++ b/packages/core/src/cyclamenshelf_core/workerprofiles/runestimates.py
@@ -27,7 +27,7 @@
     image: str
 
 
-class _Fit(NamedTuple):
+class Fit(NamedTuple):
     """Weighted sums over the logarithms of declared and observed run times."""
 
     steps: float = 0.0
@@ -53,7 +53,7 @@
     """
 
     def __init__(self) -> None:
-        self.by_kind: dict[Kind, _Fit] = {}
+        self.by_kind: dict[Kind, Fit] = {}
         self.by_job: dict[str, dict[int, _Observed]] = {}
 
 
@@ -82,11 +82,11 @@
 def _extend_fit(
     times: RunTimes, kind: Kind, declared_ms: int, log_ms: float
 ) -> None:
-    fit = times.by_kind.get(kind, _Fit())
+    fit = times.by_kind.get(kind, Fit())
     if fit.steps >= _MAX_STEPS:
-        fit = _Fit(*(value / 2 for value in fit))
+        fit = Fit(*(value / 2 for value in fit))
     declared = math.log(max(1, declared_ms))
-    times.by_kind[kind] = _Fit(
+    times.by_kind[kind] = Fit(
         fit.steps + 1,
         fit.declared + declared,
         fit.observed + log_ms,
--- a/packages/core/src/cyclamenshelf_core/workerprofiles/runprogress.py
+++ b/packages/core/src/cyclamenshelf_core/workerprofiles/runprogress.py
@@ -20,12 +20,14 @@
     Attributes:
         first_ms: Monotonic time of the first report.
         last_ms: Monotonic time of the last one below 100 percent.
+        learned_percent: Part of the work from which the run time was learned.
     """
 
     first_ms: int
     first_percent: int
     last_ms: int
     last_percent: int
+    learned_percent: int = 0
 
 
 def add_report(
--- a/packages/core/src/cyclamenshelf_core/workerprofiles/speeds.py
+++ b/packages/core/src/cyclamenshelf_core/workerprofiles/speeds.py
@@ -31,7 +31,10 @@
 _MAX_SAMPLES = 24
 # Limits the weight of the past, so that a changed speed is noticed.
 _MAX_PRECISION = 1 / 0.06**2
+# Sweeps of one update, and the change by which the fit has settled. One that
+# has not is continued by the next update.
 _SWEEPS = 2
+_SETTLED_LOG = 0.02
 
 
 class Belief(NamedTuple):
@@ -84,7 +87,7 @@
         images: Images of which tasks have run, by worker.
         reference: Logarithm of the factor of a typical worker.
         unknown_rank: Rank of a worker of unknown speed.
-        changed: Whether there are samples that are not fitted yet.
+        changed: Whether the beliefs are not fitted to all samples yet.
         revision: Increases whenever the beliefs change.
     """
 
@@ -146,10 +149,14 @@
     """Fit the beliefs to all samples that are kept."""
     if not profiles.changed:
         return
-    profiles.changed = False
     profiles.revision += 1
     for _ in range(_SWEEPS):
+        before = profiles.beliefs
         _sweep(profiles)
+    profiles.changed = any(
+        abs(belief.mean - before.get(worker_id, _UNKNOWN).mean) > _SETTLED_LOG
+        for worker_id, belief in profiles.beliefs.items()
+    )
     known = [
         belief.mean for belief in profiles.beliefs.values() if _is_known(belief)
     ]
@@ -162,39 +169,29 @@
 
 def _sweep(profiles: Profiles) -> None:
     """Fit each group's run time to the beliefs, then the beliefs to these."""
-    workers: dict[str, list[Belief]] = {}
+    workers = {
+        worker_id: _add(_UNKNOWN, past)
+        for worker_id, past in profiles.past.items()
+    }
     images: dict[tuple[str, str], list[Belief]] = {}
     for group in profiles.groups.values():
         for sample, told in _list_told(profiles, group):
-            workers.setdefault(sample.worker_id, []).append(told)
+            known = workers.get(sample.worker_id, _UNKNOWN)
+            workers[sample.worker_id] = _add(known, told)
             if group.image:
                 key = (sample.worker_id, group.image)
                 images.setdefault(key, []).append(told)
-    for worker_id, past in profiles.past.items():
-        workers.setdefault(worker_id, []).append(past)
-    profiles.beliefs = {
-        worker_id: _combine([_UNKNOWN, *told])
-        for worker_id, told in workers.items()
-    }
-    image_prior = 1 / _IMAGE_DEVIATION**2
-    profiles.image_beliefs = {
-        key: _combine(
-            [
-                Belief(0.0, image_prior),
-                *(
-                    Belief(
-                        entry.mean - profiles.beliefs[key[0]].mean,
-                        entry.precision,
-                    )
-                    for entry in told
-                ),
-            ]
-        )
-        for key, told in images.items()
-    }
+    profiles.beliefs = workers
     profiles.images = {}
-    for worker_id, image in images:
+    profiles.image_beliefs = {}
+    for key, told in images.items():
+        worker_id, image = key
         profiles.images.setdefault(worker_id, []).append(image)
+        mean = workers[worker_id].mean
+        belief = Belief(0.0, 1 / _IMAGE_DEVIATION**2)
+        for entry in told:
+            belief = _add(belief, entry._replace(mean=entry.mean - mean))
+        profiles.image_beliefs[key] = belief
 
 
 def _list_told(
@@ -232,9 +229,10 @@
     return told
 
 
-def _combine(told: list[Belief]) -> Belief:
-    precision = sum(entry.precision for entry in told)
-    mean = sum(entry.mean * entry.precision for entry in told) / precision
+def _add(known: Belief, told: Belief) -> Belief:
+    """Return a belief with what a sample, or the past, tells in addition."""
+    precision = known.precision + told.precision
+    mean = known.mean + (told.mean - known.mean) * told.precision / precision
     return Belief(mean, min(precision, _MAX_PRECISION))
 
 
@@ -242,8 +240,8 @@
     """Keep what a group has told, when the group itself is dropped."""
     for sample, told in _list_told(profiles, group):
         past = profiles.past.get(sample.worker_id)
-        profiles.past[sample.worker_id] = _combine(
-            [told] if past is None else [past, told]
+        profiles.past[sample.worker_id] = (
+            told if past is None else _add(past, told)
         )
 
 
@@ -301,6 +299,15 @@
     )
 
 
+def list_known(profiles: Profiles) -> dict[str, Belief]:
+    """Return what is known, by worker of which the speed is known."""
+    return {
+        worker_id: belief
+        for worker_id, belief in profiles.beliefs.items()
+        if _is_known(belief)
+    }
+
+
 def count_known(profiles: Profiles) -> Counts:
     """Return how many workers are known to be fast, typical and slow."""
     ranks = [
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
@@ -300,14 +300,20 @@
 
 
 def get_free_capacity(
-    worker: Worker, held: taskjobs.Resources, slow: bool
+    worker: Worker,
+    held: taskjobs.Resources,
+    slow: bool,
+    rank: int = 0,
+    image_ranks: dict[str, int] | None = None,
 ) -> freecapacity.CandidateWorker:
     """Return the capacity of a worker that is not allocated to tasks.
 
     Args:
         worker: The worker.
         held: Resources that are allocated to runs on it.
-        slow: Whether tasks take longer on it than on others.
+        slow: Whether tasks take longer on it for the time being.
+        rank: Learned rank of its speed.
+        image_ranks: Rank for tasks of an image, where that differs.
     """
     info = worker.info
     return freecapacity.CandidateWorker(
@@ -320,6 +326,8 @@
         suspect=bool(worker.failed_jobs),
         slow=slow,
         started_ms=info.started_ms,
+        rank=rank,
+        image_ranks=image_ranks,
     )
 
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -53,8 +53,6 @@
         first_stop_ms: Monotonic time at which a stop was first sent.
         checkpoint: Latest checkpoint that the worker has listed.
         progress: Progress of its work that the worker has reported.
-        learned_percent: Length of the part of its work from which its run time
-            was last learned.
         reason: Why it is being stopped.
         isolated: Whether its worker gets no other tasks meanwhile.
         off_rack: Whether it was started off the rack that its step prefers.
@@ -81,7 +79,6 @@
         self.first_stop_ms: int | None = None
         self.checkpoint = ""
         self.progress: runprogress.Progress | None = None
-        self.learned_percent = 0
         self.reason = ""
         self.isolated = isolated
         self.off_rack = False
@@ -157,8 +154,7 @@
         lost_workers: Workers that were lost, by the same key.
         suspected_runs: Runs that were recorded as lost, by the worker and the
             start time of its incarnation.
-        speeds: What is known of the workers' speeds.
-        run_times: What is known of the run times of steps.
+        speeds: What is known of workers; `run_times` likewise of steps.
         urgent_demand: Recent demand of priority 0.
         fleet: Workers by which it is decided whether work can ever run.
     """
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -33,7 +33,9 @@
 from cyclamenshelf_daemon.tasks import suspension
 from cyclamenshelf_daemon.tasks import waitreports
 from cyclamenshelf_daemon.tasks import writer
+from cyclamenshelf_daemon.tasks.workerprofiles import estimates
 from cyclamenshelf_daemon.tasks.workerprofiles import learning
+from cyclamenshelf_daemon.tasks.workerprofiles import profilestore
 
 _TICK_MS = 200
 # How long a call to the store waits for changes of jobs and workers.
@@ -110,6 +112,7 @@
             _run_calls(owner)
             ownerruns.check_run_timeouts(owner)
             ownerworkers.check_worker_timeouts(owner)
+            profilestore.restore_listed_workers(owner)
             learning.learn_if_due(owner)
             _decide_if_due(owner)
             # A fault in a report must not end the tenure.
@@ -126,6 +129,7 @@
         for pool in (owner.start_pool, owner.stop_pool):
             pool.shutdown(wait=False, cancel_futures=True)
         pendingreports.clear_metric(owner.context.registry)
+        learning.clear_metric(owner.context.registry)
         logs.log_event("owner_ended", epoch=owner.tenure.epoch)
 
 
@@ -139,6 +143,7 @@
         _CHANGES_WAIT_MS,
     )
     ownerworkers.follow_worker_list(owner, _CHANGES_WAIT_MS)
+    profilestore.start_reading(owner)
     owneradvice.start_requests(owner)
     writer.start_writer(
         writer.WriterContext(
@@ -257,7 +262,7 @@
         ),
         planstate.Outlook(
             owner.context.remote_penalty,
-            lambda task: planning.estimate_remaining_ms(
+            lambda task: estimates.estimate_remaining_ms(
                 owner.ledger, task, times.now_ms
             ),
         ),
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerrows.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerrows.py
@@ -11,6 +11,7 @@
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import submission
 from cyclamenshelf_daemon.tasks import writer
+from cyclamenshelf_daemon.tasks.workerprofiles import profilestore
 
 _QUEUED = taskprogress.State.QUEUED
 # Delays before rejected progress is written again; they double up to the
@@ -49,6 +50,8 @@
     changes += _list_removals(owner, {c.job_id for c in changes}, rows, now_ms)
     rows = sum(len(change.rows) for change in changes)
     changes += _list_cancellation_removals(owner, writer.MAX_ROWS - rows)
+    rows = sum(len(change.rows) for change in changes)
+    changes += profilestore.list_changes(owner, writer.MAX_ROWS - rows)
     marks = _list_stored_ends(owner)
     if changes:
         owner.writing = True
@@ -246,6 +249,7 @@
     written = [c for c in batch.changes if c.job_id not in rejected]
     for change in written:
         _record_versions(owner, change, result.versions)
+        profilestore.record_written(owner, change, result.versions)
     # After a rejection, the next flush finds out which ends are stored.
     if not rejected:
         _mark_stored(owner, batch.stored_ends)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -23,6 +23,7 @@
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import submission
+from cyclamenshelf_daemon.tasks.workerprofiles import storedstate
 
 # Starts and stops have threads of their own: the stops of a cancelled job of
 # thousands of tasks must not keep the starts of others waiting.
@@ -96,8 +97,9 @@
         lone_cancellations: Cancellations of jobs that are not stored: version
             of the row and Unix time of the request, by job.
         sightings: When jobs were last known to run.
-        learned_ms: Monotonic time at which the workers' speeds were last
-            updated.
+        profiles: State of the rows that keep what has been learned.
+        learn_after_ms: Monotonic time of the next update of the workers'
+            speeds.
         report_due_ms: Monotonic time of the next report on pending jobs.
         pending_stops: Number of stops that are on their way.
         links: Context of the workers' renewal threads; set at the start.
@@ -118,7 +120,8 @@
         self.decision = pendingreasons.NO_DECISION
         self.lone_cancellations: dict[str, tuple[int, int]] = {}
         self.sightings = pendingjobs.Sightings()
-        self.learned_ms = 0
+        self.profiles = storedstate.StoredProfiles()
+        self.learn_after_ms = 0
         self.report_due_ms = 0
         self.unconfirmed_workers: set[str] = set()
         self.unconfirmed_until_ms = (
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -14,14 +14,13 @@
 from cyclamenshelf_core import victimcosts
 from cyclamenshelf_core import waitlimit
 from cyclamenshelf_core import workerlosses
-from cyclamenshelf_core.workerprofiles import runestimates
-from cyclamenshelf_core.workerprofiles import runprogress
 from cyclamenshelf_core.workerprofiles import speeds
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import lostworkers
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import startqueue
+from cyclamenshelf_daemon.tasks.workerprofiles import estimates
 
 # Time that a start from a checkpoint loses.
 _RESTORE_MS = 100
@@ -70,7 +69,7 @@
             waited_ms = _compute_wait_ms(ledger, entry, group, times.now_ms)
             if job is None:
                 job = _apply_queue_settings(entry.job, lists)
-                job = _apply_learned_run_times(ledger, job)
+                job = estimates.apply_learned_run_times(ledger, job)
             for indexes, isolated in _list_startable_tasks(
                 ledger, entry, group
             ):
@@ -79,7 +78,7 @@
                         job,
                         group,
                         indexes,
-                        _compute_slack_ms(job, group, times.wall_ms),
+                        estimates.compute_slack_ms(job, group, times.wall_ms),
                         entry.job.id in guaranteed_jobs,
                         preempting=group in entry.preempting,
                         isolated=isolated,
@@ -191,35 +190,6 @@
     return held
 
 
-def estimate_remaining_ms(
-    ledger: ledgers.Ledger, task: taskjobs.Task, now_ms: int
-) -> int | None:
-    """Return how long a task's run is expected to go on; None if it lasts.
-
-    Before its worker has reported progress, the run time of its step counts,
-    and of a run that has exceeded it a quarter of what it has taken.
-    """
-    run = ledger.runs.get(task)
-    if run is None:
-        return None
-    job = ledger.jobs[task.group.job_id].job
-    step = job.steps[task.group.step]
-    if step.long_running:
-        return None
-    remaining_ms = runprogress.estimate_remaining_ms(run.progress, now_ms)
-    if remaining_ms is not None:
-        return remaining_ms
-    elapsed_ms = max(0, now_ms - run.since_ms)
-    run_ms = runestimates.estimate_run_ms(
-        ledger.run_times,
-        runestimates.Kind(job.queue, step.image),
-        job.id,
-        task.group.step,
-        step.expected_run_ms,
-    )
-    return max(run_ms - elapsed_ms, elapsed_ms // 4)
-
-
 def _is_stop_overdue(run: ledgers.Run, now_ms: int) -> bool:
     """Return whether a run was to be stopped long ago and may not end soon.
 
@@ -264,7 +234,6 @@
         worker,
         ledger.used.get(worker.info.id, taskjobs.NO_RESOURCES),
         slow=False,
-    )._replace(
         rank=speeds.get_rank(ledger.speeds, worker.info.id),
         image_ranks=speeds.list_image_ranks(ledger.speeds, worker.info.id),
     )
@@ -404,41 +373,3 @@
     if queue is None:
         return job
     return job._replace(service=queue.service, priority=queue.priority)
-
-
-def _apply_learned_run_times(
-    ledger: ledgers.Ledger, job: taskjobs.TaskJob
-) -> taskjobs.TaskJob:
-    """Return the job with learned run times in place of the declared ones."""
-    return job._replace(
-        steps=tuple(
-            step._replace(
-                expected_run_ms=runestimates.estimate_run_ms(
-                    ledger.run_times,
-                    runestimates.Kind(job.queue, step.image),
-                    job.id,
-                    number,
-                    step.expected_run_ms,
-                )
-            )
-            for number, step in enumerate(job.steps)
-        )
-    )
-
-
-def _compute_slack_ms(
-    job: taskjobs.TaskJob, group: taskjobs.Group, wall_ms: int
-) -> int:
-    """Return the slack of a group: how long its start may still be delayed.
-
-    A start delayed by more than the slack misses the objective.
-    """
-    critical_path_ms = taskjobs.estimate_critical_path_ms(job)
-    objective_ms = (
-        int(job.slowdown_factor * critical_path_ms) + job.target_latency_ms
-    )
-    predecessors = job.steps[group.step].after
-    done_ms = sum(job.steps[number].expected_run_ms for number in predecessors)
-    remaining_ms = max(0, critical_path_ms - done_ms)
-    due_ms = taskjobs.get_due_ms(job, group.occurrence)
-    return due_ms + objective_ms - wall_ms - remaining_ms
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
@@ -166,9 +166,12 @@
         run.number == running.run and run.worker_id == worker.info.id
     ):
         _update_run(run, running, times.now_ms)
-        samples.record_report(
-            ledger, worker, run, times.now_ms, running.percent
-        )
+        # Thousands of runs may be listed at once, mostly without any news.
+        progress = run.progress
+        if progress is None or progress.last_percent != running.percent:
+            samples.record_report(
+                ledger, worker, run, times.now_ms, running.percent
+            )
         return
     job_ended = entry.progress.state in taskprogress.ENDED
     task_done = task.index in entry.progress.done.get(task.group, ())
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/workerprofiles/learning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/workerprofiles/learning.py
@@ -7,20 +7,28 @@
 from cyclamenshelf_daemon import metrics
 from cyclamenshelf_daemon.tasks import ownerstate
 
-# An update takes some milliseconds, however many samples have come.
 _UPDATE_INTERVAL_MS = 2_000
+# The interval as a multiple of the time that an update takes, which is tens of
+# milliseconds on a large fleet.
+_PAUSE_FACTOR = 300
 
 
 def learn_if_due(owner: ownerstate.Owner) -> None:
     """Update the workers' speeds if there are new samples."""
     profiles = owner.ledger.speeds
     now_ms = owner.context.clock.now_ms()
-    if not profiles.changed or now_ms < owner.learned_ms + _UPDATE_INTERVAL_MS:
+    if not profiles.changed or now_ms < owner.learn_after_ms:
         return
-    owner.learned_ms = now_ms
     before = speeds.count_known(profiles)
     speeds.update(profiles)
     known = speeds.count_known(profiles)
+    ended_ms = owner.context.clock.now_ms()
+    owner.learn_after_ms = ended_ms + max(
+        _UPDATE_INTERVAL_MS, _PAUSE_FACTOR * (ended_ms - now_ms)
+    )
+    metrics.replace_gauges(
+        owner.context.registry, "known_workers", "speed", known._asdict()
+    )
     if known != before:
         logs.log_event(
             "worker_speeds_learned",
@@ -31,6 +39,11 @@
         )
 
 
+def clear_metric(registry: metrics.Metrics) -> None:
+    """Remove the gauges; the next owner reports them on its own host."""
+    metrics.replace_gauges(registry, "known_workers", "speed", {})
+
+
 def is_off_rack(
     owner: ownerstate.Owner, job: taskjobs.TaskJob, start: planstate.Start
 ) -> bool:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/workerprofiles/samples.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/workerprofiles/samples.py
@@ -22,19 +22,17 @@
     percent: int,
 ) -> None:
     """Record the progress of a run, and learn from it once that is accurate."""
-    # Thousands of runs may be listed at once, mostly without any news.
-    if run.progress is not None and run.progress.last_percent == percent:
-        return
     run.progress = runprogress.add_report(run.progress, now_ms, percent)
     if run.progress is None:
         return
     part_percent = run.progress.last_percent - run.progress.first_percent
-    if part_percent < _LEARN_AGAIN_FACTOR * run.learned_percent:
+    learned_percent = run.progress.learned_percent
+    if part_percent < max(1, _LEARN_AGAIN_FACTOR * learned_percent):
         return
     run_ms = runprogress.estimate_run_ms(run.progress)
     if run_ms is None:
         return
-    run.learned_percent = part_percent
+    run.progress = run.progress._replace(learned_percent=part_percent)
     log_error = runprogress.estimate_log_error(run.progress)
     _record_run_ms(ledger, worker, run, run_ms, log_error)
 
@@ -52,7 +50,9 @@
     """
     entry = ledger.jobs[run.task.group.job_id]
     step = entry.job.steps[run.task.group.step]
-    if run.learned_percent or step.gang or run.checkpoint:
+    if step.gang or run.checkpoint:
+        return
+    if run.progress is not None and run.progress.learned_percent:
         return
     if run.task in entry.progress.checkpoints:
         return
--- a/testing/core/workerprofiles/test_speeds.py
+++ b/testing/core/workerprofiles/test_speeds.py
@@ -36,7 +36,6 @@
 
 def learn(profiles, rounds=5):
     for _ in range(rounds):
-        profiles.changed = True
         speeds.update(profiles)
 
 
--- a/testing/daemon/tasks/histories.py
+++ b/testing/daemon/tasks/histories.py
@@ -23,6 +23,7 @@
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import submission
 from cyclamenshelf_daemon.tasks import writer
+from cyclamenshelf_daemon.tasks.workerprofiles import profilestore
 
 WORKERS_TABLE = "workers"
 LEASE_MS = 6_000
@@ -235,7 +236,15 @@
         randoms = types.SimpleNamespace(
             Random=lambda: random.Random(self.generator.random())
         )
-        for module in (fleet, following, links, owners, ownership, writer):
+        for module in (
+            fleet,
+            following,
+            links,
+            owners,
+            ownership,
+            profilestore,
+            writer,
+        ):
             self._patches.setattr(module, "threading", threads)
         for module in (owners, ownerstate, writer):
             self._patches.setattr(module, "queue", queued)
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -128,7 +128,12 @@
                 "specification": "text",
                 "steps": [
                     {"count": 4, "cpu": 500, "data_rack": "r1-3"},
-                    {"count": 2, "gang_scheduled": True, "after": [0]},
+                    {
+                        "count": 2,
+                        "gang_scheduled": True,
+                        "after": [0],
+                        "image": "solver",
+                    },
                 ],
             }
         ).encode()
@@ -136,6 +141,7 @@
     assert payload == "text"
     assert steps[0].need == taskjobs.Resources(500, 0, 0)
     assert steps[1].gang
+    assert [step.image for step in steps] == ["", "solver"]
     assert steps[1].after == (0,)
     assert schedule == (0, 0, 0)
 
@@ -253,6 +259,24 @@
     assert closed
 
 
+@pytest.mark.parametrize(
+    ("entry", "percent"),
+    [
+        (["j.0.0.0", 1, "", 40], 40),
+        (["j.0.0.0", 1, "", 40, 12], 40),
+        (["j.0.0.0", 1, None, None], 0),
+        (["j.0.0.0", 1, ""], 0),
+    ],
+)
+def test_progress_of_a_running_task_is_decoded(entry, percent):
+    # A worker that reports none must not be taken for one that is silent.
+    response = workers._decode_renewal_response(
+        {"clock_ms": 1, "running": [entry]},
+        decode_worker(json.dumps(ENTRY).encode()),
+    )
+    assert response.running == (ports.RunningTask("j.0.0.0", 1, "", percent),)
+
+
 @pytest.mark.parametrize(
     "body", [nest(), b"[]", b"{}", b'{"rows":[{}],"row_version":"x"}', b"7"]
 )
