Count the time that a group has waited for its rack, and let other limits pass

Cause: found by reading. A group whose rack was always expected to be free soon waited for it as long as others took what came free. A late group with room on its rack, but at its limit of tasks on a worker, no longer started elsewhere.

Change: the time that a group has waited counts with the wait that is expected, so it loses at most as much as it could have saved. Where there is room, the group goes elsewhere once it is late, as before. A test of each, which fails without.

--- a/packages/core/src/cyclamenshelf_core/plansearch.py
+++ b/packages/core/src/cyclamenshelf_core/plansearch.py
@@ -22,7 +22,8 @@
     This holds if the group has waited for long beside idle workers, if no rack
     could hold the gang even when empty, if no eligible worker is on the rack of
     its data, or if the group ends sooner elsewhere; if it is not known when
-    its rack becomes free, once the group misses its objective.
+    its rack becomes free, once the group misses its objective. The time that it
+    has waited counts too, as others may take what comes free again and again.
     """
     step = entry.job.steps[entry.group.step]
     one_rack = step.gang and step.same_rack
@@ -43,10 +44,13 @@
     if step.data_rack and not racks:
         return True
     wait_ms = _find_shortest_wait(state, entry, racks)
-    if wait_ms is None:
+    if not wait_ms:
+        # Where there is room but no start, something else than room is missing.
         return entry.slack_ms < 0
     return remotewait.is_sooner_elsewhere(
-        wait_ms, step.expected_run_ms, state.outlook.remote_penalty
+        entry.waited_ms + wait_ms,
+        step.expected_run_ms,
+        state.outlook.remote_penalty,
     )
 
 
--- a/testing/core/taskplacement/test_remotewait.py
+++ b/testing/core/taskplacement/test_remotewait.py
@@ -24,18 +24,22 @@
 
 # The rack of the data is full, and another one is free.
 @pytest.mark.parametrize(
-    ("remaining_ms", "slack_ms", "starts"),
+    ("remaining_ms", "slack_ms", "waited_ms", "starts"),
     [
         # It waited until its slack was gone, and then ran three times as long.
-        pytest.param(30_000, 20_000, True, id="sooner-elsewhere"),
-        pytest.param(2_000, 20_000, False, id="sooner-on-the-rack"),
+        pytest.param(30_000, 20_000, 0, True, id="sooner-elsewhere"),
+        pytest.param(2_000, 20_000, 0, False, id="sooner-on-the-rack"),
         # It ran elsewhere for 15 s although the rack was free after 2 s.
-        pytest.param(2_000, -1, False, id="late-and-sooner-on-the-rack"),
-        pytest.param(None, -1, True, id="late-and-end-unknown"),
-        pytest.param(None, 20_000, False, id="end-unknown"),
+        pytest.param(2_000, -1, 0, False, id="late-and-sooner-on-the-rack"),
+        # Others may take what comes free on the rack for ever.
+        pytest.param(2_000, 20_000, 9_000, True, id="waited-for-long"),
+        pytest.param(None, -1, 0, True, id="late-and-end-unknown"),
+        pytest.param(None, 20_000, 0, False, id="end-unknown"),
     ],
 )
-def test_group_goes_where_it_ends_first(remaining_ms, slack_ms, starts):
+def test_group_goes_where_it_ends_first(
+    remaining_ms, slack_ms, waited_ms, starts
+):
     running = builders.make_job("old", builders.make_step(16, 1))
     held = [
         builders.make_allocation(running, f"w0{index // 8}", index)
@@ -43,8 +47,9 @@
     ]
     workers = builders.make_workers(w00=FULL, w01=FULL)
     job = builders.make_job("j", builders.make_step(2, 8, data_rack="r0"))
+    waiting = builders.make_waiting_group(job, slack_ms=slack_ms)
     result = taskplan.plan(
-        [builders.make_waiting_group(job, slack_ms=slack_ms)],
+        [waiting._replace(waited_ms=waited_ms)],
         held,
         workers,
         {},
@@ -52,3 +57,20 @@
         outlook=planstate.Outlook(3.0, lambda task: remaining_ms),
     )
     assert bool(result.starts) is starts
+
+
+def test_late_group_runs_elsewhere_if_only_its_limit_on_a_worker_is_reached():
+    # The rack has room, so nothing would ever come free for it there.
+    step = builders.make_step(4, 1, data_rack="r0", max_per_worker=1)
+    result = taskplan.plan(
+        [
+            builders.make_waiting_group(
+                builders.make_job("j", step), slack_ms=-1, indexes=(2, 3)
+            )
+        ],
+        [],
+        builders.make_workers(),
+        {("j", 0, "w00"): 1, ("j", 0, "w01"): 1},
+        {},
+    )
+    assert len(result.starts[0].placements) == 2
