--- a/packages/core/src/cyclamenshelf_core/workerprofiles/speeds.py
+++ b/packages/core/src/cyclamenshelf_core/workerprofiles/speeds.py
@@ -81,7 +81,7 @@
 
     Attributes:
         groups: Recent groups, the one with the oldest sample first.
-        past: What groups that are no longer kept have told, by worker.
+        past: Evidence of groups that are no longer kept, by worker.
         beliefs: Present belief by worker.
         image_beliefs: Further factor by worker and image.
         images: Images of which tasks have run, by worker.
@@ -175,29 +175,29 @@
     }
     images: dict[tuple[str, str], list[Belief]] = {}
     for group in profiles.groups.values():
-        for sample, told in _list_told(profiles, group):
+        for sample, evidence in _list_evidence(profiles, group):
             known = workers.get(sample.worker_id, _UNKNOWN)
-            workers[sample.worker_id] = _add(known, told)
+            workers[sample.worker_id] = _add(known, evidence)
             if group.image:
                 key = (sample.worker_id, group.image)
-                images.setdefault(key, []).append(told)
+                images.setdefault(key, []).append(evidence)
     profiles.beliefs = workers
     profiles.images = {}
     profiles.image_beliefs = {}
-    for key, told in images.items():
+    for key, evidence in images.items():
         worker_id, image = key
         profiles.images.setdefault(worker_id, []).append(image)
         mean = workers[worker_id].mean
         belief = Belief(0.0, 1 / _IMAGE_DEVIATION**2)
-        for entry in told:
+        for entry in evidence:
             belief = _add(belief, entry._replace(mean=entry.mean - mean))
         profiles.image_beliefs[key] = belief
 
 
-def _list_told(
+def _list_evidence(
     profiles: Profiles, group: _Group
 ) -> list[tuple[_Sample, Belief]]:
-    """Return what each sample of a group tells of its worker.
+    """Return what each sample of a group says about its worker.
 
     A sample tells the less, the less is known of the others' workers, and the
     further it lies from what is believed of its own one.
@@ -217,7 +217,7 @@
         for sample, belief in zip(samples, beliefs, strict=True)
     ]
     total = sum(weights)
-    told: list[tuple[_Sample, Belief]] = []
+    evidence: list[tuple[_Sample, Belief]] = []
     for sample, belief, weight in zip(samples, beliefs, weights, strict=True):
         base_variance = 1 / max(total - weight, 1e-9)
         deviation = sample.log_ms - base
@@ -225,23 +225,24 @@
         variance = (sample.variance + base_variance) * (
             1 + unusual / _TAIL_FREEDOM
         )
-        told.append((sample, Belief(deviation, 1 / variance)))
-    return told
+        evidence.append((sample, Belief(deviation, 1 / variance)))
+    return evidence
 
 
-def _add(known: Belief, told: Belief) -> Belief:
-    """Return a belief with what a sample, or the past, tells in addition."""
-    precision = known.precision + told.precision
-    mean = known.mean + (told.mean - known.mean) * told.precision / precision
+def _add(known: Belief, evidence: Belief) -> Belief:
+    """Return a belief updated with further evidence."""
+    precision = known.precision + evidence.precision
+    weight = evidence.precision / precision
+    mean = known.mean + (evidence.mean - known.mean) * weight
     return Belief(mean, min(precision, _MAX_PRECISION))
 
 
 def _fold(profiles: Profiles, group: _Group) -> None:
-    """Keep what a group has told, when the group itself is dropped."""
-    for sample, told in _list_told(profiles, group):
+    """Keep the evidence of a group, when the group itself is dropped."""
+    for sample, evidence in _list_evidence(profiles, group):
         past = profiles.past.get(sample.worker_id)
         profiles.past[sample.worker_id] = (
-            told if past is None else _add(past, told)
+            evidence if past is None else _add(past, evidence)
         )
 
 
