--- a/packages/core/src/cyclamenshelf_core/planstate.py
+++ b/packages/core/src/cyclamenshelf_core/planstate.py
@@ -1,5 +1,6 @@
 """State of one decision of the task planner."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from cyclamenshelf_core import freecapacity
@@ -8,6 +9,7 @@
 from cyclamenshelf_core.overload import callercost
 from cyclamenshelf_core.overload import forecast
 from cyclamenshelf_core.overload import stopdecision
+from cyclamenshelf_core.taskplacement import remotewait
 
 
 class WaitingGroup(NamedTuple):
@@ -67,6 +69,24 @@
     free_after_ms: int | None
 
 
+class Outlook(NamedTuple):
+    """What is expected of run times.
+
+    Attributes:
+        remote_penalty: How many times as long a task takes off the rack that
+            it prefers.
+        get_remaining_ms: Returns how long a running task is expected to go on;
+            None if that is not known.
+    """
+
+    remote_penalty: float
+    get_remaining_ms: Callable[[taskjobs.Task], int | None]
+
+
+# Used where nothing is known.
+NO_OUTLOOK = Outlook(3.0, lambda task: None)
+
+
 class Shape(NamedTuple):
     """The properties that decide where the tasks of a group can be placed."""
 
@@ -98,6 +118,9 @@
             they are found from the workers that accept tasks.
         running: What the callers of running groups expect, relative to now.
         waits: Groups that wait although they could stop tasks.
+        outlook: What is expected of run times.
+        releases: Cache of what tasks of a rack will release, by rack.
+        slowest_rank: Rank of the slowest worker that accepts tasks.
     """
 
     def __init__(
@@ -108,6 +131,7 @@
         isolated: int = 0,
         idle_services: frozenset[str] | None = None,
         running: dict[taskjobs.Group, callercost.Demand] | None = None,
+        outlook: Outlook = NO_OUTLOOK,
     ) -> None:
         self.capacity = freecapacity.FreeCapacity(workers, counts)
         for allocation in held:
@@ -128,6 +152,11 @@
         self.running = running or {}
         self.ends = forecast.ExpectedEnds(held)
         self.waits: list[Wait] = []
+        self.outlook = outlook
+        self.releases: dict[str, list[remotewait.Release]] = {}
+        self.slowest_rank = max(
+            (worker.rank for worker in workers.values()), default=0
+        )
 
     def get_soon_free(self, worker_id: str) -> taskjobs.Resources:
         """Return the resources that are free or being released."""
--- a/packages/core/src/cyclamenshelf_core/taskjobs.py
+++ b/packages/core/src/cyclamenshelf_core/taskjobs.py
@@ -50,6 +50,8 @@
             users of their own, must stay below; 0 for other tasks.
         max_unavailable: Number of tasks of a long-running step that may be
             unavailable at once because the scheduler moves them.
+        image: What the tasks run; tasks of the same image behave alike. Empty
+            if not known.
     """
 
     tasks: int
@@ -67,6 +69,7 @@
     fills: bool = False
     tail_target_ms: int = 0
     max_unavailable: int = 0
+    image: str = ""
 
 
 class TaskJob(NamedTuple):
--- a/packages/core/src/cyclamenshelf_core/taskplan.py
+++ b/packages/core/src/cyclamenshelf_core/taskplan.py
@@ -53,6 +53,7 @@
     isolated_workers: int = 0,
     idle_services: frozenset[str] | None = None,
     running: dict[taskjobs.Group, callercost.Demand] | None = None,
+    outlook: planstate.Outlook = planstate.NO_OUTLOOK,
 ) -> Plan:
     """Return the tasks to start and to stop.
 
@@ -67,9 +68,16 @@
             not among `workers`.
         idle_services: See `planstate.PlanningState`.
         running: What the callers of running groups expect, relative to now.
+        outlook: What is expected of run times.
     """
     state = planstate.PlanningState(
-        workers, held, counts, isolated_workers, idle_services, running
+        workers,
+        held,
+        counts,
+        isolated_workers,
+        idle_services,
+        running,
+        outlook,
     )
     kept = headroom.Headroom(urgent_headroom)
     for entry in grouporder.sort_groups(waiting):
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_core import planstate
 from cyclamenshelf_core import progresspages
 from cyclamenshelf_core.failover import candidates
 from cyclamenshelf_core.pacing import control
@@ -68,6 +69,7 @@
             no task may be started there; None if no limit is set.
         stop_terms: See `ownerstate.OwnerContext`.
         pacing_terms: See `ownerstate.OwnerContext`.
+        remote_penalty: See `ownerstate.OwnerContext`.
     """
 
     store: ports.Store
@@ -92,6 +94,7 @@
     evacuation_ms: int | None = None
     stop_terms: losses.StopTerms = losses.DEFAULT_TERMS
     pacing_terms: control.PacingTerms | None = None
+    remote_penalty: float = planstate.NO_OUTLOOK.remote_penalty
 
 
 class Host(NamedTuple):
@@ -146,6 +149,7 @@
         context.max_row_bytes,
         context.stop_terms,
         context.pacing_terms,
+        context.remote_penalty,
     )
     members = memberships.Members(
         memberships.Member(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -10,8 +10,10 @@
 from cyclamenshelf_core import taskprogress
 from cyclamenshelf_core import urgentdemand
 from cyclamenshelf_core import workerlosses
-from cyclamenshelf_core import workerspeeds
 from cyclamenshelf_core.stopping import losses
+from cyclamenshelf_core.workerprofiles import runestimates
+from cyclamenshelf_core.workerprofiles import runprogress
+from cyclamenshelf_core.workerprofiles import speeds
 from cyclamenshelf_daemon import logs
 
 _RUNS_PER_EPOCH = 1_000_000
@@ -54,8 +56,10 @@
         checkpoint: Latest checkpoint that the worker has listed.
         resumed_ms: Work that the checkpoint saves from which it was started,
             as far as it is known.
+        progress: Progress of its work that the worker has reported.
         reason: Why it is being stopped.
         isolated: Whether its worker gets no other tasks meanwhile.
+        off_rack: Whether it was started off the rack that its step prefers.
         pace_percent: Pace that its worker has confirmed; None if unknown.
         pace_pending: Whether an order of a pace is on its way.
         pace_ordered: Whether its pace may be lower than that of a new run.
@@ -83,8 +87,10 @@
         self.first_stop_ms: int | None = None
         self.checkpoint = ""
         self.resumed_ms = 0
+        self.progress: runprogress.Progress | None = None
         self.reason = ""
         self.isolated = isolated
+        self.off_rack = False
         self.pace_percent: int | None = None
         self.pace_pending = False
         self.pace_ordered = False
@@ -166,7 +172,7 @@
         lost_workers: Workers that were lost, by the same key.
         suspected_runs: Runs that were recorded as lost, by the worker and the
             start time of its incarnation.
-        speeds: Estimates of the workers' speeds.
+        speeds: What is known of workers; `run_times` likewise of steps.
         urgent_demand: Recent demand of priority 0.
         fleet: Workers by which it is decided whether work can ever run.
         stop_terms: How workers stop tasks and resume them.
@@ -195,7 +201,8 @@
         self.suspected_runs: dict[
             tuple[str, int], list[tuple[taskjobs.Task, int]]
         ] = {}
-        self.speeds = workerspeeds.SpeedEstimates()
+        self.speeds = speeds.Profiles()
+        self.run_times = runestimates.RunTimes()
         self.urgent_demand = urgentdemand.UrgentDemand()
         self.fleet = feasibility.Fleet()
         self.best_effort_room: set[str] | None = None
@@ -415,7 +422,7 @@
     entry.progress.ended_ms = wall_ms
     entry.progress.checkpoints.clear()
     entry.dirty = True
-    workerspeeds.forget_job(ledger.speeds, entry.job.id)
+    runestimates.forget_job(ledger.run_times, entry.job.id)
     logs.log_event(
         "job_ended",
         job=entry.job.id,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/overload/demands.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/overload/demands.py
@@ -12,13 +12,18 @@
     """Return what the callers of running groups expect, relative to now."""
     demands: dict[taskjobs.Group, callercost.Demand] = {}
     for group, runs in ledger.by_group.items():
-        latest_ms = max(
-            (run.since_ms for run in runs.values()), default=times.now_ms
+        # Of a gang, the member that has done least decides.
+        work_ms = min(
+            (
+                ledgers.compute_work_ms(ledger, run, times.now_ms)
+                for run in runs.values()
+            ),
+            default=0,
         )
         demands[group] = callercost.make_running_demand(
             ledger.jobs[group.job_id].job,
             group,
-            max(0, times.now_ms - latest_ms),
+            work_ms,
             times.wall_ms,
         )
     return demands
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -41,6 +41,9 @@
 from cyclamenshelf_daemon.tasks.overload import deferrals
 from cyclamenshelf_daemon.tasks.overload import demands
 from cyclamenshelf_daemon.tasks.pacing import pacer
+from cyclamenshelf_daemon.tasks.workerprofiles import estimates
+from cyclamenshelf_daemon.tasks.workerprofiles import learning
+from cyclamenshelf_daemon.tasks.workerprofiles import profilestore
 
 _TICK_MS = 200
 # How long a call to the store waits for changes of jobs and workers.
@@ -120,6 +123,8 @@
             ownerruns.check_run_timeouts(owner)
             ownerworkers.check_worker_timeouts(owner)
             tracking.apply_requests(owner)
+            profilestore.restore_listed_workers(owner)
+            learning.learn_if_due(owner)
             _decide_if_due(owner)
             # A fault in what only reports must not end the tenure.
             supervision.run_logged(
@@ -146,6 +151,7 @@
             pool.shutdown(wait=False, cancel_futures=True)
         pendingreports.clear_metric(owner.context.registry)
         tracking.clear_metrics(owner.context.registry)
+        learning.clear_metric(owner.context.registry)
         logs.log_event("owner_ended", epoch=owner.tenure.epoch)
 
 
@@ -159,6 +165,7 @@
         _CHANGES_WAIT_MS,
     )
     ownerworkers.follow_worker_list(owner, _CHANGES_WAIT_MS)
+    profilestore.start_reading(owner)
     owneradvice.start_requests(owner)
     writer.start_writer(
         writer.WriterContext(
@@ -281,6 +288,12 @@
             owner.ledger, owner.workers.values(), times.now_ms
         ),
         demands.list_running_demands(owner.ledger, times),
+        planstate.Outlook(
+            owner.context.remote_penalty,
+            lambda task: estimates.estimate_remaining_ms(
+                owner.ledger, task, times.now_ms
+            ),
+        ),
     )
     owner.decision = pendingreasons.Decision(
         waiting, impossible, decision.blocked, headroom
@@ -318,6 +331,7 @@
 ) -> None:
     entry = owner.ledger.jobs[start.group.job_id]
     number = ledgers.allocate_run_number(owner.ledger)
+    off_rack = learning.is_off_rack(owner, entry.job, start)
     logs.log_event(
         "group_started",
         job=entry.job.id,
@@ -326,13 +340,13 @@
         tasks=len(start.placements),
         run=number,
         isolated=start.isolated,
+        off_rack=off_rack,
         spare_ms=slack_ms,
         age_ms=owner.context.clock.wall_ms() - entry.job.accepted_ms,
     )
     for index, worker_id in start.placements:
         task = taskjobs.Task(start.group, index)
-        ledgers.add_run(
-            owner.ledger,
-            ledgers.Run(task, number, worker_id, now_ms, start.isolated),
-        )
+        run = ledgers.Run(task, number, worker_id, now_ms, start.isolated)
+        run.off_rack = off_rack
+        ledgers.add_run(owner.ledger, run)
     entry.dirty = True
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from cyclamenshelf_core import clock as clocks
+from cyclamenshelf_core import planstate
 from cyclamenshelf_core import progresspages
 from cyclamenshelf_core.pacing import control
 from cyclamenshelf_core.stopping import losses
@@ -26,6 +27,7 @@
 from cyclamenshelf_daemon.tasks import submission
 from cyclamenshelf_daemon.tasks.admission import publishing
 from cyclamenshelf_daemon.tasks.evacuation import requests
+from cyclamenshelf_daemon.tasks.workerprofiles import storedstate
 
 # Starts and stops have threads of their own: the stops of a cancelled job of
 # thousands of tasks must not keep the starts of others waiting.
@@ -57,6 +59,8 @@
         max_row_bytes: Size of the largest row that the store accepts.
         stop_terms: How workers stop tasks and resume them.
         pacing_terms: How workers slow tasks down; None if they can't.
+        remote_penalty: How many times as long a task takes off the rack that
+            it prefers.
     """
 
     store: ports.Store
@@ -74,6 +78,7 @@
     max_row_bytes: int = progresspages.DEFAULT_MAX_ROW_BYTES
     stop_terms: losses.StopTerms = losses.DEFAULT_TERMS
     pacing_terms: control.PacingTerms | None = None
+    remote_penalty: float = planstate.NO_OUTLOOK.remote_penalty
 
 
 class Owner:
@@ -109,6 +114,9 @@
         sightings: When jobs were last known to run.
         paces: Pace of the best-effort tasks by worker, where they run beside
             latency-sensitive ones.
+        profiles: State of the rows that keep what has been learned.
+        learn_after_ms: Monotonic time of the next update of the workers'
+            speeds.
         report_due_ms: Monotonic time of the next report on pending jobs.
         publisher: Publishes the backlog.
         pending_stops: Number of stops that are on their way.
@@ -133,6 +141,8 @@
         self.lone_cancellations: dict[str, tuple[int, int]] = {}
         self.sightings = pendingjobs.Sightings()
         self.paces: dict[str, control.Pace] = {}
+        self.profiles = storedstate.StoredProfiles()
+        self.learn_after_ms = 0
         self.report_due_ms = 0
         self.unconfirmed_workers: set[str] = set()
         self.unconfirmed_until_ms = (
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/planning.py
@@ -14,13 +14,14 @@
 from cyclamenshelf_core import victimcosts
 from cyclamenshelf_core import waitlimit
 from cyclamenshelf_core import workerlosses
-from cyclamenshelf_core import workerspeeds
 from cyclamenshelf_core.stopping import losses
+from cyclamenshelf_core.workerprofiles import speeds
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import lostworkers
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import startqueue
+from cyclamenshelf_daemon.tasks.workerprofiles import estimates
 
 # A stop that takes longer is not certain to free the resources of its run soon.
 _MAX_STOP_MS = 2_000
@@ -60,19 +61,23 @@
             continue
         if entry.job.id in blocked:
             continue
+        job: taskjobs.TaskJob | None = None
         for group in _list_runnable_groups(entry, times.wall_ms):
             if entry.not_before_ms.get(group, 0) > times.now_ms:
                 continue
             waited_ms = _compute_wait_ms(ledger, entry, group, times.now_ms)
+            if job is None:
+                job = apply_queue_settings(entry.job, lists)
+                job = estimates.apply_learned_run_times(ledger, job)
             for indexes, isolated in _list_startable_tasks(
                 ledger, entry, group
             ):
                 waiting.append(
                     planstate.WaitingGroup(
-                        apply_queue_settings(entry.job, lists),
+                        job,
                         group,
                         indexes,
-                        _compute_slack_ms(entry, group, times.wall_ms),
+                        estimates.compute_slack_ms(job, group, times.wall_ms),
                         entry.job.id in guaranteed_jobs,
                         preempting=group in entry.preempting,
                         isolated=isolated,
@@ -161,11 +166,12 @@
         job = ledger.jobs[group.job_id].job
         step = job.steps[group.step]
         terms, room = ledger.stop_terms, ledger.best_effort_room
+        left_by_task = estimates.list_remaining_ms(
+            ledger, step, runs.values(), now_ms
+        )
         for run in runs.values():
             elapsed_ms = max(0, now_ms - run.since_ms)
-            left_ms = _estimate_left_ms(
-                step, ledgers.compute_work_ms(ledger, run, now_ms)
-            )
+            left_ms = left_by_task[run.task]
             held.append(
                 victimcosts.Allocation(
                     run.task,
@@ -191,12 +197,6 @@
     return held
 
 
-def _estimate_left_ms(step: taskjobs.Step, work_ms: int) -> int | None:
-    """Return how long a run is expected to continue, or None if unknown."""
-    left_ms = step.expected_run_ms - work_ms
-    return left_ms if left_ms > 0 and not step.long_running else None
-
-
 def _is_stop_overdue(run: ledgers.Run, now_ms: int) -> bool:
     """Return whether a run was to be stopped long ago and may not end soon.
 
@@ -240,8 +240,9 @@
     return fleet.get_free_capacity(
         worker,
         ledger.used.get(worker.info.id, taskjobs.NO_RESOURCES),
-        fleet.is_cold(worker, now_ms)
-        or workerspeeds.is_slow(ledger.speeds, worker.info.id),
+        slow=fleet.is_cold(worker, now_ms),
+        rank=speeds.get_rank(ledger.speeds, worker.info.id),
+        image_ranks=speeds.list_image_ranks(ledger.speeds, worker.info.id),
     )
 
 
@@ -379,22 +380,3 @@
     if queue is None:
         return job
     return job._replace(service=queue.service, priority=queue.priority)
-
-
-def _compute_slack_ms(
-    entry: ledgers.JobEntry, group: taskjobs.Group, wall_ms: int
-) -> int:
-    """Return the slack of a group: how long its start may still be delayed.
-
-    A start delayed by more than the slack misses the objective.
-    """
-    job = entry.job
-    critical_path_ms = taskjobs.estimate_critical_path_ms(job)
-    objective_ms = (
-        int(job.slowdown_factor * critical_path_ms) + job.target_latency_ms
-    )
-    predecessors = job.steps[group.step].after
-    done_ms = sum(job.steps[number].expected_run_ms for number in predecessors)
-    remaining_ms = max(0, critical_path_ms - done_ms)
-    due_ms = taskjobs.get_due_ms(job, group.occurrence)
-    return due_ms + objective_ms - wall_ms - remaining_ms
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
@@ -119,7 +119,8 @@
     """A task run that is in progress on a worker.
 
     Attributes:
-        percent: How far a finite task is; below 100 while a long-running one
+        percent: How much of the task's work is done; 100 for the member of a
+            gang that waits for the others. Below 100 while a long-running task
             starts up.
         reading: Recent tail latency in ms of a latency-sensitive task, and
             processor use of any other; None if the worker reports none.
--- a/testing/daemon/tasks/histories.py
+++ b/testing/daemon/tasks/histories.py
@@ -28,6 +28,7 @@
 from cyclamenshelf_daemon.tasks.admission import publishing
 from cyclamenshelf_daemon.tasks.failover import handover
 from cyclamenshelf_daemon.tasks.failover import leaserows
+from cyclamenshelf_daemon.tasks.workerprofiles import profilestore
 
 WORKERS_TABLE = "workers"
 LEASE_MS = 6_000
@@ -250,6 +251,7 @@
             owners,
             ownership,
             publishing,
+            profilestore,
             writer,
         ):
             self._patches.setattr(module, "threading", threads)
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -168,7 +168,12 @@
                 "specification": "text",
                 "steps": [
                     {"count": 4, "cpu": 500, "data_rack": "r1-3"},
-                    {"count": 2, "gang_scheduled": True, "after": [0]},
+                    {
+                        "count": 2,
+                        "gang_scheduled": True,
+                        "after": [0],
+                        "image": "solver",
+                    },
                 ],
             }
         ).encode()
@@ -176,6 +181,7 @@
     assert payload == "text"
     assert steps[0].need == taskjobs.Resources(500, 0, 0)
     assert steps[1].gang
+    assert [step.image for step in steps] == ["", "solver"]
     assert steps[1].after == (0,)
     assert schedule == (0, 0, 0)
 
@@ -372,6 +378,7 @@
         (["n", 1, "", 40], 40, None),
         (["n", 1, "", 40.5, 7], 40, 7.0),
         (["n", 1, "", None], 100, None),
+        (["n", 1, None, None], 100, None),
     ],
 )
 def test_listed_task_has_its_percentage(fields, percent, reading):
