Move the stops of runs to a module of their own

Change: stops of runs and the end of a job are in `tasks/endings/stops.py`; the ledger keeps the table. The test is back for the learned speeds, with the same numbers of runs.

--- a/benchmarks/taskreplay.py
+++ b/benchmarks/taskreplay.py
@@ -35,6 +35,7 @@
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import runends
+from cyclamenshelf_daemon.tasks.endings import stops
 
 # Jobs that have not ended this long after the last arrival count as not served.
 _FINISH_MS = 15_000
@@ -189,7 +190,7 @@
     planning.record_preempting_groups(ledger, plan, state.now_ms)
     planning.record_blocked_groups(ledger, plan, state.now_ms)
     for stop in plan.stops:
-        ledgers.stop_run(ledger, ledger.runs[stop.task], "preempted")
+        stops.stop_run(ledger, ledger.runs[stop.task], "preempted")
         state.stops += 1
         state.beneficiaries.add(stop.beneficiary)
     for start in plan.starts:
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/endings/__init__.py
@@ -0,0 +1,1 @@
+"""How jobs and runs are ended by decision of the owner."""
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/evacuation/moving.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/evacuation/moving.py
@@ -11,6 +11,7 @@
 from cyclamenshelf_daemon.tasks import ownerstate
 from cyclamenshelf_daemon.tasks import planning
 from cyclamenshelf_daemon.tasks import suspension
+from cyclamenshelf_daemon.tasks.endings import stops
 
 _INTERVAL_MS = 500
 
@@ -29,7 +30,7 @@
     reserve_room = _make_room_reserver(owner, now_ms)
     for occupant in moves.choose_moves(occupants, reserve_room):
         for task in occupant.tasks:
-            ledgers.stop_run(
+            stops.stop_run(
                 owner.ledger, owner.ledger.runs[task], "data_centre_evacuated"
             )
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -14,7 +14,6 @@
 from cyclamenshelf_core.workerprofiles import runestimates
 from cyclamenshelf_core.workerprofiles import runprogress
 from cyclamenshelf_core.workerprofiles import speeds
-from cyclamenshelf_daemon import logs
 
 _RUNS_PER_EPOCH = 1_000_000
 
@@ -320,61 +319,6 @@
     return list(ledger.by_worker.get(worker_id, {}).values())
 
 
-def stop_run(ledger: Ledger, run: Run, reason: str) -> None:
-    """Stop a run unless it is being stopped already."""
-    if run.phase in (Phase.STOPPING, Phase.LOST):
-        return
-    if run.phase is Phase.PLANNED:
-        if ledger.runs.get(run.task) is run:
-            remove_run(ledger, run)
-            # A gang must not start without one of its members.
-            stop_other_members(ledger, run, reason)
-        return
-    run.phase = Phase.STOPPING
-    run.reason = reason
-    ledger.stops.append(run)
-    logs.log_event(
-        "task_stopping",
-        task=taskjobs.format_task(run.task),
-        run=run.number,
-        worker=run.worker_id,
-        reason=reason,
-    )
-
-
-def mark_unacknowledged(ledger: Ledger, run: Run) -> None:
-    """Record that the start of a run was not acknowledged.
-
-    A run that its worker has listed is known to run, and stays as it is.
-    """
-    if run.acked_ms is not None:
-        return
-    if run.phase is Phase.STARTING:
-        ledger.stops.append(run)
-    run.phase = Phase.LOST
-    stop_other_members(ledger, run, "member_not_started")
-
-
-def repeat_stop(ledger: Ledger, run: Run) -> None:
-    """Send the stop of a run again, as its worker has forgotten the first."""
-    run.stop_acked_ms = None
-    if run not in ledger.stops:
-        ledger.stops.append(run)
-
-
-def stop_other_members(ledger: Ledger, run: Run, reason: str) -> None:
-    """Stop the other members of a run's gang unless the gang is done."""
-    entry, group = ledger.jobs[run.task.group.job_id], run.task.group
-    step = entry.job.steps[group.step]
-    if not step.gang or taskprogress.is_group_done(
-        entry.progress, group, step.tasks
-    ):
-        return
-    for other in list_group_runs(ledger, run.task.group):
-        if other is not run and other.number == run.number:
-            stop_run(ledger, other, reason)
-
-
 def delay_group(
     ledger: Ledger, group: taskjobs.Group, now_ms: int, delay_ms: int
 ) -> None:
@@ -408,27 +352,3 @@
         ends[worker_id] = (started_ms, min(number, end[1]))
     elif started_ms < end[0]:
         ends[worker_id] = end
-
-
-def end_job(
-    ledger: Ledger,
-    entry: JobEntry,
-    state: taskprogress.State,
-    wall_ms: int,
-    reason: str,
-) -> None:
-    """End a job and stop its remaining runs."""
-    entry.progress.state = state
-    entry.progress.ended_ms = wall_ms
-    entry.progress.checkpoints.clear()
-    entry.dirty = True
-    runestimates.forget_job(ledger.run_times, entry.job.id)
-    logs.log_event(
-        "job_ended",
-        job=entry.job.id,
-        state=state,
-        reason=reason,
-        age_ms=wall_ms - entry.job.accepted_ms,
-    )
-    for run in list_job_runs(ledger, entry.job.id):
-        stop_run(ledger, run, f"job_{state}")
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/lostworkers.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/lostworkers.py
@@ -9,6 +9,7 @@
 from cyclamenshelf_daemon import logs
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
+from cyclamenshelf_daemon.tasks.endings import stops
 
 # Lost workers that are remembered at most.
 _MAX_REMEMBERED = 1_000
@@ -60,7 +61,7 @@
     """End jobs of which a task has lost too many workers."""
     for entry in entries:
         if entry.progress.state not in taskprogress.ENDED:
-            ledgers.end_job(
+            stops.end_job(
                 ledger,
                 entry,
                 taskprogress.State.FAILED,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -35,6 +35,7 @@
 from cyclamenshelf_daemon.tasks import writer
 from cyclamenshelf_daemon.tasks.admission import ownerbacklog
 from cyclamenshelf_daemon.tasks.admission import publishing
+from cyclamenshelf_daemon.tasks.endings import stops
 from cyclamenshelf_daemon.tasks.evacuation import moving
 from cyclamenshelf_daemon.tasks.evacuation import requests
 from cyclamenshelf_daemon.tasks.evacuation import tracking
@@ -310,7 +311,7 @@
     for stop in decision.stops:
         run = owner.ledger.runs.get(stop.task)
         if run is not None:
-            ledgers.stop_run(
+            stops.stop_run(
                 owner.ledger, run, f"room_for_{stop.beneficiary.job_id}"
             )
     slack_by_group = {entry.group: entry.slack_ms for entry in waiting}
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerjobs.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerjobs.py
@@ -10,6 +10,7 @@
 from cyclamenshelf_daemon.tasks import ownerstate
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import submission
+from cyclamenshelf_daemon.tasks.endings import stops
 
 _LIST_TIMEOUT_MS = 900
 _LOAD_RETRY_MS = 150
@@ -145,7 +146,7 @@
         if (
             _is_cancel(row) or cancel_key in owner.work.rows
         ) and entry.progress.state not in taskprogress.ENDED:
-            ledgers.end_job(
+            stops.end_job(
                 owner.ledger,
                 entry,
                 taskprogress.State.CANCELLED,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
@@ -13,6 +13,7 @@
 from cyclamenshelf_daemon.tasks import ownerstate
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import reports
+from cyclamenshelf_daemon.tasks.endings import stops
 from cyclamenshelf_daemon.tasks.evacuation import requests
 from cyclamenshelf_daemon.tasks.evacuation import tracking
 
@@ -74,7 +75,7 @@
         worker=run.worker_id,
         listed=run.acked_ms is not None,
     )
-    ledgers.mark_unacknowledged(owner.ledger, run)
+    stops.mark_unacknowledged(owner.ledger, run)
     if run.acked_ms is not None:
         _mark_job_running(owner, run)
 
@@ -214,10 +215,10 @@
     work meanwhile.
     """
     count = max(0, _MAX_PENDING_STOPS - owner.pending_stops)
-    stops = owner.ledger.stops[:count]
+    due = owner.ledger.stops[:count]
     del owner.ledger.stops[:count]
     now_ms = owner.context.clock.now_ms()
-    for run in stops:
+    for run in due:
         worker = owner.workers.get(run.worker_id)
         if run.first_stop_ms is None:
             run.first_stop_ms = now_ms
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -26,6 +26,7 @@
 from cyclamenshelf_daemon.tasks import queues
 from cyclamenshelf_daemon.tasks import submission
 from cyclamenshelf_daemon.tasks.admission import publishing
+from cyclamenshelf_daemon.tasks.endings import stops
 from cyclamenshelf_daemon.tasks.evacuation import requests
 from cyclamenshelf_daemon.tasks.workerprofiles import storedstate
 
@@ -202,6 +203,6 @@
 def withdraw_run(owner: Owner, run: ledgers.Run, now_ms: int) -> None:
     """Remove a run that is known not to have started."""
     ledgers.remove_run(owner.ledger, run)
-    ledgers.stop_other_members(owner.ledger, run, "member_not_started")
+    stops.stop_other_members(owner.ledger, run, "member_not_started")
     ledgers.delay_group(owner.ledger, run.task.group, now_ms, _RETRY_GROUP_MS)
     owner.changed = True
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
@@ -13,6 +13,7 @@
 from cyclamenshelf_daemon.tasks import planning
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import reports
+from cyclamenshelf_daemon.tasks.endings import stops
 from cyclamenshelf_daemon.tasks.pacing import pacer
 
 # How often workers that are no longer listed are checked for removal.
@@ -264,8 +265,8 @@
         if losses.is_stopped_for_drain(
             step, work_ms, left_ms, owner.ledger.stop_terms
         ):
-            ledgers.stop_run(owner.ledger, run, "worker_draining")
-            ledgers.stop_other_members(owner.ledger, run, "worker_draining")
+            stops.stop_run(owner.ledger, run, "worker_draining")
+            stops.stop_other_members(owner.ledger, run, "worker_draining")
 
 
 def _remove_worker_if_expired(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/pacing/pacer.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/pacing/pacer.py
@@ -16,6 +16,7 @@
 from cyclamenshelf_daemon.tasks import orders
 from cyclamenshelf_daemon.tasks import ownerstate
 from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks.endings import stops
 
 # How long a worker with tasks of both kinds may wait before it responds to a
 # renewal. Two reports and an order fit well into the longest excess.
@@ -125,7 +126,7 @@
     for run in best_effort:
         if pace.stop:
             metrics.count_event(owner.context.registry, "pace_stops", 1)
-            ledgers.stop_run(owner.ledger, run, "tail_over_target")
+            stops.stop_run(owner.ledger, run, "tail_over_target")
         else:
             _order_pace(owner, worker, run, pace.percent)
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
@@ -15,6 +15,7 @@
 from cyclamenshelf_daemon.tasks import planning
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import runends
+from cyclamenshelf_daemon.tasks.endings import stops
 from cyclamenshelf_daemon.tasks.workerprofiles import samples
 
 # A long-running task does its work once it is listed with this.
@@ -89,12 +90,12 @@
     speeds.forget_worker(ledger.speeds, worker.info.id)
     for run in ledgers.list_worker_runs(ledger, worker.info.id):
         if run.phase is ledgers.Phase.PLANNED:
-            ledgers.stop_run(ledger, run, "worker_reborn")
+            stops.stop_run(ledger, run, "worker_reborn")
         elif run.listed:
             runends.requeue_run(ledger, run, times.now_ms, "worker_reborn")
         elif run.acked_ms is None:
-            ledgers.mark_unacknowledged(ledger, run)
-            ledgers.repeat_stop(ledger, run)
+            stops.mark_unacknowledged(ledger, run)
+            stops.repeat_stop(ledger, run)
     lostworkers.give_up(ledger, given_up, times.wall_ms)
 
 
@@ -148,7 +149,7 @@
         members = collections.Counter(run.number for run in runs)
         for run in runs:
             if members[run.number] < tasks:
-                ledgers.stop_run(ledger, run, "member_missing")
+                stops.stop_run(ledger, run, "member_missing")
 
 
 def _apply_running_task(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/runends.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/runends.py
@@ -7,6 +7,7 @@
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks.endings import stops
 from cyclamenshelf_daemon.tasks.workerprofiles import samples
 
 
@@ -32,7 +33,7 @@
             samples.record_end(ledger, worker, run, now_ms)
         else:
             _save_run(ledger, entry, run, end.checkpoint, now_ms)
-            ledgers.stop_other_members(ledger, run, f"member_{end.kind}")
+            stops.stop_other_members(ledger, run, f"member_{end.kind}")
     logs.log_event(
         "task_ended",
         task=end.name,
@@ -87,7 +88,7 @@
     ledgers.mark_changed(entry, recorded_task)
     entry.dirty = True
     if len(failed) >= entry.job.max_attempts:
-        ledgers.end_job(
+        stops.end_job(
             ledger,
             entry,
             taskprogress.State.FAILED,
@@ -163,9 +164,9 @@
     entry.dirty = True
     run = ledger.runs.get(task)
     if run is not None and not step.gang:
-        ledgers.stop_run(ledger, run, "done_elsewhere")
+        stops.stop_run(ledger, run, "done_elsewhere")
     if taskprogress.is_job_done(entry.progress, entry.job):
-        ledgers.end_job(
+        stops.end_job(
             ledger,
             entry,
             taskprogress.State.COMPLETED,
@@ -186,7 +187,7 @@
     entry = ledger.jobs[run.task.group.job_id]
     _save_run(ledger, entry, run, "", now_ms)
     ledgers.remove_run(ledger, run)
-    ledgers.stop_other_members(ledger, run, f"member_{reason}")
+    stops.stop_other_members(ledger, run, f"member_{reason}")
     logs.log_event(
         "task_requeued",
         task=taskjobs.format_task(run.task),
--- a/testing/core/workerprofiles/test_speeds.py
+++ b/testing/core/workerprofiles/test_speeds.py
@@ -91,6 +91,18 @@
     assert speeds.get_rank(profiles, "a") == 0
 
 
+def test_worker_that_became_fast_is_no_longer_slow():
+    # What was learned of a worker must not outlast a change of its speed.
+    profiles = speeds.Profiles()
+    others = {f"w{n}": 1.0 for n in range(6)}
+    for key, factor in (("old", 2.0), ("new", 0.5)):
+        record_step(profiles, others, speeds.GroupKey(key, 0))
+        record_step(profiles, {"w": factor}, speeds.GroupKey(key, 0), tasks=60)
+    learn(profiles)
+    ranks = get_ranks(profiles, {"w": 1.0, "w0": 1.0})
+    assert ranks["w"] <= ranks["w0"]
+
+
 def test_worker_of_which_nothing_is_known_ranks_between_fast_and_slow():
     # It counted like a fast one, so urgent work took it before those.
     profiles = speeds.Profiles()
--- a/testing/daemon/tasks/test_planning.py
+++ b/testing/daemon/tasks/test_planning.py
@@ -16,6 +16,7 @@
 from cyclamenshelf_daemon.tasks import planning
 from cyclamenshelf_daemon.tasks import ports
 from cyclamenshelf_daemon.tasks import runends
+from cyclamenshelf_daemon.tasks.endings import stops
 
 NOW_MS = 100_000
 
@@ -108,7 +109,7 @@
     add_job(ledger, 2)
     entry = ledger.jobs["j"]
     run_task(ledger, worker, 0, 500)
-    ledgers.end_job(ledger, entry, taskprogress.State.CANCELLED, NOW_MS, "test")
+    stops.end_job(ledger, entry, taskprogress.State.CANCELLED, NOW_MS, "test")
     run_task(ledger, worker, 1, 500)
     (group,) = ledger.speeds.groups.values()
     assert len(group.samples) == 1
