--- a/packages/core/src/cyclamenshelf_core/errors.py
+++ b/packages/core/src/cyclamenshelf_core/errors.py
@@ -208,11 +208,7 @@
 
 
 class OverloadedError(RequestRefusedError):
-    """So much work is ahead of the job that it would end too late to be of use.
-
-    The job is not stored, and `retry_after_ms` is the time until capacity for
-    it is expected.
-    """
+    """The job would end too late to be of use; it is not stored."""
 
     code = "overloaded"
     status = 429
