--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/host.py
@@ -220,7 +220,10 @@
     handle_call: Callable[[], webserver.Response],
 ) -> webserver.Response:
     """Handle a request of another host: an offer or a call that it relays."""
-    if request.path == handover.PATH:
+    # A relayed call has the path that its caller has chosen.
+    relayed = relays.RELAYED_HEADER.lower() in request.headers
+    is_offer = request.method == "POST" and request.path == handover.PATH
+    if is_offer and not relayed:
         return handover.handle_request(
             host.offers, host.cached_lists.clock, request
         )
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownership.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownership.py
@@ -35,9 +35,11 @@
 # preferred hosts poll it more often for a while.
 _STARTUP_MS = 3_000
 _STARTUP_POLL_MS = 150
-# An owner whose lease is valid for less than this after a failed renewal offers
-# the ownership: two attempts have been rejected by then, or one had no answer.
-_OFFER_BEFORE_EXPIRY_MS = 750
+# An owner offers the ownership after this many failed renewals in a row, as a
+# single rejection may mean nothing, or after one without an answer, which has
+# used up most of the lease.
+_OFFER_AFTER_FAILURES = 2
+_UNANSWERED_LEFT_MS = 400
 
 
 class Tenure:
@@ -292,6 +294,7 @@
 def _renew_until_ended(context: OwnershipContext, tenure: Tenure) -> None:
     """Renew the lease until the tenure ends or the host stops."""
     unproved_since_ms: int | None = None
+    failures = 0
     try:
         context.on_acquired(tenure)
         while not context.stopping.is_set() and not tenure.ended.is_set():
@@ -304,8 +307,14 @@
             unproved_since_ms = _log_proof(
                 tenure, context.clock, unproved_since_ms
             )
-            if not renewed and _is_expiring(tenure, context.clock):
-                context.offer(tenure.epoch, tenure.lease_version)
+            failures = 0 if renewed else failures + 1
+            if _should_offer(tenure, context.clock, failures):
+                supervision.run_logged(
+                    "ownership_offer_failed",
+                    context.offer,
+                    tenure.epoch,
+                    tenure.lease_version,
+                )
             tenure.ended.wait(max(0, pause_ms) / 1000)
         lost = tenure.ended.is_set()
         if not lost:
@@ -315,8 +324,15 @@
     logs.log_event("tenure_ended", epoch=tenure.epoch, lost=lost)
 
 
-def _is_expiring(tenure: Tenure, clock: clocks.Clock) -> bool:
-    return clock.now_ms() > tenure.valid_until_ms - _OFFER_BEFORE_EXPIRY_MS
+def _should_offer(tenure: Tenure, clock: clocks.Clock, failures: int) -> bool:
+    """Return whether to offer the ownership after renewals that failed.
+
+    Once the lease has expired for everybody, an offer is of no use.
+    """
+    left_ms = tenure.valid_until_ms - clock.now_ms()
+    if not failures or left_ms < -TTL_MS:
+        return False
+    return failures >= _OFFER_AFTER_FAILURES or left_ms < _UNANSWERED_LEFT_MS
 
 
 def _log_proof(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -148,6 +148,8 @@
         self.unconfirmed_workers: set[str] = set()
         self.unconfirmed_until_ms = (
             context.clock.now_ms()
+            # An offered lease is acquired before it has expired.
+            + ownership.TTL_MS
             + ownership.GRACE_MS
             + int(context.lease_ms / _MIN_CLOCK_RATE)
             + _HANDOVER_MARGIN_MS
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/relay.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/relay.py
@@ -20,7 +20,6 @@
 from cyclamenshelf_daemon import webserver
 from cyclamenshelf_daemon.tasks import cachedlists
 from cyclamenshelf_daemon.tasks import members as memberships
-from cyclamenshelf_daemon.tasks.failover import handover
 
 # Lists older than this were not confirmed at the end of the last wait for
 # changes.
@@ -36,6 +35,8 @@
 # unknown.
 _NOT_DONE_STATUS = 503
 _OUTCOME_UNKNOWN_STATUS = 504
+# Marks a relayed call: its path is its caller's.
+RELAYED_HEADER = "X-Relayed"
 # Headers that apply to a single connection and are not relayed.
 _CONNECTION_HEADERS = frozenset(
     {"connection", "content-length", "keep-alive", "transfer-encoding"}
@@ -87,12 +88,7 @@
             return handle_locally(int(timeout_ms * share))
         except _RELAYED_ERRORS as error:
             failure = error
-    response = None
-    # A peer would take a caller's request to this path for an owner's offer.
-    if request.path != handover.PATH:
-        response, failure = _relay_to_peers(
-            relay, request, deadline_ms, failure
-        )
+    response, failure = _relay_to_peers(relay, request, deadline_ms, failure)
     if response is not None:
         return response
     if failure is not None:
@@ -177,7 +173,7 @@
         name: value
         for name, value in request.headers.items()
         if name not in _CONNECTION_HEADERS
-    }
+    } | {RELAYED_HEADER: "1"}
     try:
         result = httpclient.call(
             relay.pool,
--- a/testing/daemon/tasks/test_handover.py
+++ b/testing/daemon/tasks/test_handover.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import types
 
 import pytest
 from testing.daemon.tasks import conftest
@@ -9,6 +10,7 @@
 from cyclamenshelf_core.failover import candidates
 from cyclamenshelf_daemon import httpclient
 from cyclamenshelf_daemon import webserver
+from cyclamenshelf_daemon.tasks import host as hosts
 from cyclamenshelf_daemon.tasks import members as memberships
 from cyclamenshelf_daemon.tasks.failover import handover
 
@@ -85,3 +87,34 @@
     )
     assert response.status == 400
     assert not inbox.wake.is_set()
+
+
+@pytest.mark.parametrize(
+    ("method", "headers", "is_offer"),
+    [
+        ("POST", {}, True),
+        ("POST", {"x-relayed": "1"}, False),
+        ("GET", {}, False),
+    ],
+)
+def test_only_a_request_of_a_host_itself_is_an_offer(
+    manual_clock, method, headers, is_offer
+):
+    # A relayed call has the path that its caller has chosen.
+    inbox = handover.OfferInbox()
+    lists = types.SimpleNamespace(
+        clock=manual_clock.clock,
+        copy=types.SimpleNamespace(confirmed_ms=manual_clock.clock.now_ms()),
+    )
+    host = types.SimpleNamespace(
+        offers=inbox,
+        cached_lists=lists,
+        relay=types.SimpleNamespace(cached_lists=lists),
+    )
+    body = b'{"epoch": 4, "lease_version": 17}'
+    hosts.handle_peer_request(
+        host,
+        webserver.Request(method, handover.PATH, {}, headers, body),
+        lambda: webserver.make_json(404, {}),
+    )
+    assert inbox.wake.is_set() is is_offer
