Claim the reading of the backlog before it is made

Cause: it counted only once it had succeeded, so that all callers of a moment read the row, and each of them again, for 0.3 s, while the store was slow. Two docstrings told of a design that was dropped.

Change: the first caller claims the reading for a second, also if it fails.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/admission/knownbacklog.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/admission/knownbacklog.py
@@ -1,9 +1,7 @@
 """What a host knows of the owner's backlog, and how it learns of changes.
 
-A host neither polls nor follows the backlog. The insert of a job carries the
-version that the host knows; while the owner publishes, the store rejects the
-insert and returns the newer row. Without overload the row does not change, and
-nothing is sent that is not sent anyway.
+A host neither polls nor follows the backlog. It reads the row before it inserts
+a job, once a second at most.
 """
 
 import collections
@@ -28,7 +26,8 @@
         version: Version of its row; 0 before the first one.
         backlog: The backlog; None if there is none or it is invalid.
         received_ms: Monotonic time at which this version was first received.
-        read_ms: Monotonic time of the last reading; None before the first one.
+        read_ms: Monotonic time at which the last reading began; None before
+            the first one.
         refusals: Jobs that this host has refused, the oldest first.
     """
 
@@ -43,10 +42,17 @@
         self.lock = threading.Lock()
 
 
-def is_fresh(known: KnownBacklog, now_ms: int) -> bool:
-    """Return whether the backlog was read a short time ago."""
+def claim_reading(known: KnownBacklog, now_ms: int) -> bool:
+    """Return whether to read the backlog now; others do not until it is old.
+
+    A reading that fails counts too, so that a slow store is not asked by every
+    caller.
+    """
     with known.lock:
-        return known.read_ms is not None and now_ms - known.read_ms < _FRESH_MS
+        if known.read_ms is not None and now_ms - known.read_ms < _FRESH_MS:
+            return False
+        known.read_ms = now_ms
+        return True
 
 
 def record_row(
@@ -61,7 +67,6 @@
         now_ms: Monotonic time at which the reading began.
     """
     with known.lock:
-        known.read_ms = now_ms
         if version <= known.version:
             return
         known.version = version
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/admission/overloadcheck.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/admission/overloadcheck.py
@@ -36,12 +36,12 @@
 
 
 def refresh(context: OverloadContext, store: ports.Store) -> None:
-    """Read the backlog unless it was read a short time ago.
+    """Read the backlog unless that was tried a short time ago.
 
     A host that can't read it knows of no overload.
     """
     now_ms = context.clock.now_ms()
-    if knownbacklog.is_fresh(context.known, now_ms):
+    if not knownbacklog.claim_reading(context.known, now_ms):
         return
     try:
         rows = store.read_row(knownbacklog.BACKLOG_KEY, _READ_TIMEOUT_MS).rows
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/admission/publishing.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/admission/publishing.py
@@ -59,8 +59,7 @@
 def write(context: PublisherContext, backlog: backlogs.Backlog) -> None:
     """Write a backlog, unless the store is away or another host is the owner.
 
-    The row is never removed: an insert that was sent under one version must
-    not be carried out after a later version was seen.
+    The row is never removed; hosts ignore one that is too old.
     """
     value = backlogs.encode(backlog)
     # The second attempt knows the version of the row that an earlier owner, or
