Mend faults that a reading of the merged parts found

Cause and change, one by one: - the stop of a planned member of a gang stopped the next one, to the depth of the gang: 512 members ended the owner by a RecursionError (older code). The limit is on logarithms now, with a test for each. - kinds of steps were kept without bound, by images that callers name: the last 1,000 stay. - members of a gang had different expected ends if one had not reported. - the pace of a removed worker stayed; a move could name a run that was gone.

--- a/packages/core/src/cyclamenshelf_core/victimcosts.py
+++ b/packages/core/src/cyclamenshelf_core/victimcosts.py
@@ -26,8 +26,9 @@
         latency_sensitive: Whether best-effort tasks would push the task over
             the target of its tail latency.
         expected_left_ms: Time after which the task is expected to end by
-            itself, by its caller's estimate; None if unknown, as it is once
-            the task has run longer than estimated.
+            itself, by the progress that its worker reports, else by its
+            caller's estimate; None if unknown, as it is once the task has run
+            longer than estimated.
         stop_ms: Time that a stop may take, during which its resources are
             of no use.
         spared: Whether it is not to be stopped now, as it is expected to end
--- a/packages/core/src/cyclamenshelf_core/workerprofiles/profilerows.py
+++ b/packages/core/src/cyclamenshelf_core/workerprofiles/profilerows.py
@@ -19,7 +19,8 @@
 _MAX_TEXT = 200
 # Numbers are stored as integers, in thousandths.
 _SCALE = 1_000
-_MAX_NUMBER = 10_000_000
+# Limit of the logarithms of run times in ms and of factors.
+_MAX_LOG = 50
 
 
 class StoredSpeed(NamedTuple):
@@ -79,17 +80,30 @@
         return content
     for entry in _list_entries(row, "workers", texts=1, numbers=3):
         worker_id, started_ms, mean, deviation = entry
-        if deviation > 0 and abs(mean) <= _MAX_NUMBER:
+        if deviation > 0 and abs(mean) <= _MAX_LOG * _SCALE:
             belief = speeds.Belief(mean / _SCALE, (_SCALE / deviation) ** 2)
             content.workers[worker_id] = StoredSpeed(started_ms, belief)
     for entry in _list_entries(row, "kinds", texts=2, numbers=5):
         queue, image, *numbers = entry
         fit = runestimates.Fit(*(number / _SCALE for number in numbers))
-        if fit.steps >= 1 and max(map(abs, numbers)) <= _MAX_NUMBER:
+        if _is_plausible(fit):
             content.kinds[runestimates.Kind(queue, image)] = fit
     return content
 
 
+def _is_plausible(fit: runestimates.Fit) -> bool:
+    """Return whether a fit may be one of run times.
+
+    Others would give estimates that exceed the range of numbers.
+    """
+    limit = _MAX_LOG * fit.steps
+    return (
+        fit.steps >= 1
+        and max(abs(fit.declared), abs(fit.observed)) <= limit
+        and max(abs(fit.declared_squared), abs(fit.product)) <= _MAX_LOG * limit
+    )
+
+
 def _list_entries(
     row: Any, name: str, texts: int, numbers: int
 ) -> list[list[Any]]:
--- a/packages/core/src/cyclamenshelf_core/workerprofiles/runestimates.py
+++ b/packages/core/src/cyclamenshelf_core/workerprofiles/runestimates.py
@@ -14,6 +14,8 @@
 # observed steps, and of their spread, as a sum of squared logarithms.
 _PRIOR_STEPS = 2
 _PRIOR_SPREAD = 1.0
+# Kinds that are kept; callers choose the names of images.
+_MAX_KINDS = 1_000
 # Beyond this many steps the old ones lose weight.
 _MAX_STEPS = 100
 # A task that takes much longer than usual tells little of others.
@@ -86,6 +88,10 @@
     if fit.steps >= _MAX_STEPS:
         fit = Fit(*(value / 2 for value in fit))
     declared = math.log(max(1, declared_ms))
+    # The kind that was recorded last stays longest.
+    times.by_kind.pop(kind, None)
+    if len(times.by_kind) >= _MAX_KINDS:
+        del times.by_kind[next(iter(times.by_kind))]
     times.by_kind[kind] = Fit(
         fit.steps + 1,
         fit.declared + declared,
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/endings/stops.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/endings/stops.py
@@ -83,6 +83,16 @@
         entry.progress, group, step.tasks
     ):
         return
-    for other in ledgers.list_group_runs(ledger, run.task.group):
-        if other is not run and other.number == run.number:
+    others = [
+        other
+        for other in ledgers.list_group_runs(ledger, group)
+        if other is not run and other.number == run.number
+    ]
+    # Removed here, as the stop of a planned member would stop the next one, to
+    # a depth of the whole gang.
+    for other in others:
+        if other.phase is ledgers.Phase.PLANNED:
+            ledgers.remove_run(ledger, other)
+    for other in others:
+        if other.phase is not ledgers.Phase.PLANNED:
             stop_run(ledger, other, reason)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/evacuation/moving.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/evacuation/moving.py
@@ -30,9 +30,9 @@
     reserve_room = _make_room_reserver(owner, now_ms)
     for occupant in moves.choose_moves(occupants, reserve_room):
         for task in occupant.tasks:
-            stops.stop_run(
-                owner.ledger, owner.ledger.runs[task], "data_centre_evacuated"
-            )
+            run = owner.ledger.runs.get(task)
+            if run is not None:
+                stops.stop_run(owner.ledger, run, "data_centre_evacuated")
 
 
 def list_occupants(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
@@ -285,6 +285,9 @@
     )
     fleet.close_worker(worker)
     speeds.forget_worker(owner.ledger.speeds, worker.info.id)
+    owner.paces.pop(worker.info.id, None)
+    if owner.ledger.best_effort_room is not None:
+        owner.ledger.best_effort_room.discard(worker.info.id)
     del owner.workers[worker.info.id]
     owner.unconfirmed_workers.discard(worker.info.id)
     owner.changed = True
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/workerprofiles/estimates.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/workerprofiles/estimates.py
@@ -89,6 +89,10 @@
         if known_ms is None and left_ms > 0:
             known_ms = left_ms
         remaining[task] = known_ms
+    if step.gang:
+        known = [left_ms for left_ms in remaining.values() if left_ms]
+        complete = len(known) == len(remaining)
+        return dict.fromkeys(remaining, max(known) if complete else None)
     return remaining
 
 
--- a/testing/core/workerprofiles/test_profilerows.py
+++ b/testing/core/workerprofiles/test_profilerows.py
@@ -49,3 +49,19 @@
     # Rows of an earlier owner would otherwise stay for ever.
     rows = profilerows.encode_rows(profilerows.Content({}, {}))
     assert profilerows.decode_row(rows[0]) == profilerows.Content({}, {})
+
+
+def test_best_known_kind_of_long_runs_is_kept():
+    # Sums of squares over many steps exceeded a limit meant for odd rows.
+    times = runestimates.RunTimes()
+    kind = runestimates.Kind("queue", "")
+    for number in range(300):
+        runestimates.record_run(times, kind, f"j{number}", 0, 600_000, 600_000)
+        content = profilerows.Content({}, times.by_kind)
+        (row,) = profilerows.encode_rows(content)
+        assert kind in profilerows.decode_row(row).kinds
+
+
+def test_factor_beyond_the_range_of_numbers_is_left_out():
+    row = b'{"workers": [["w", 1, 10000000, 100]]}'
+    assert not profilerows.decode_row(row).workers
