Send orders to workers from one event loop instead of 48 threads

Cause: each stop was a blocking call of one of 16 threads. On the machine of this measurement a switch to a thread that waits for the interpreter lock or for a response takes about 0.1 ms and more, and a call needs several, beside the owner's thread and those of the links. 5,000 stops took 12 to 14 s with 16 threads and 9.7 s of processor time (trial): 370 a second, at 69% of a core, so the threads waited for each other rather than for processor time. A shorter switch interval of the interpreter (0.5 ms) did not help: 15.9 s (trial). The responses of the workers were no part of it: they used 4% of a core each.

Change: the orders of all kinds wait in `sending/orderqueue`, by worker, with at most 8 under way for a worker, 1 for one that does not respond, and 1,000 for all. The jobs of a worker's orders take turns. The owner hands over all stops at once; the window of 256 that a round of the owner refilled is gone. A start whose job was cancelled while it waited for its turn is not sent any more, nor is the stop of a run that has ended. Unacknowledged stops are kept in a list, where each round of the owner went through all runs. The metrics `order_wait` and `order_call` tell how long orders wait for their turn and how long a call takes.

Conclusion: threads that take turns were the cause; the owner's own work for each end is what remains.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -39,6 +39,7 @@
     """A run of a task, which uses resources of a worker or may do so.
 
     Attributes:
+        name: Name of the task in requests to workers.
         number: Number of the run; increases with each run of a task.
         since_ms: Monotonic time of the decision to start it, and of the
             start order once that is sent.
@@ -73,6 +74,7 @@
         isolated: bool = False,
     ) -> None:
         self.task = task
+        self.name = taskjobs.format_task(task)
         self.number = number
         self.worker_id = worker_id
         self.phase = Phase.PLANNED
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/orders.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/orders.py
@@ -1,22 +1,24 @@
-"""Send orders to workers, each in a thread of a pool."""
+"""Deliver orders to workers, and report how that ended to the owner."""
 
 from collections.abc import Callable
-import concurrent.futures
 from typing import NamedTuple
 
 from cyclamenshelf_core import clock as clocks
-from cyclamenshelf_core import taskjobs
 from cyclamenshelf_daemon import logs
+from cyclamenshelf_daemon import metrics
 from cyclamenshelf_daemon import supervision
 from cyclamenshelf_daemon.tasks import fleet
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 from cyclamenshelf_daemon.tasks import ownership
 from cyclamenshelf_daemon.tasks import ports
+from cyclamenshelf_daemon.tasks.sending import orderqueue
 
 # An order whose response is lost is sent again with the same run number; a
 # worker carries out each run number only once.
 _MAX_START_CALLS = 2
 _MAX_STOP_CALLS = 3
+# An order of a pace is repeated by the owner, which may choose another by then.
+_MAX_PACE_CALLS = 1
 _CALL_TIMEOUT_MS = 700
 # A start that is not sent within this time is returned to the queue.
 _MAX_START_DELAY_MS = 1_500
@@ -26,6 +28,8 @@
     """Dependencies of the functions that send orders.
 
     Attributes:
+        queue: Orders that wait for their turn.
+        is_live: Returns whether a run is still allocated; called in any thread.
         may_start: Returns whether a task may be started on a worker now. It is
             called before each start order, as a start may wait for its turn
             or be repeated.
@@ -37,14 +41,16 @@
         on_fenced: Called with a worker that has accepted a newer epoch.
         on_paced: Called with the run, its pace and whether that was
             acknowledged.
+        registry: Keeps how long orders wait for their turn, and how long their
+            calls take.
     """
 
     workers: ports.WorkerClient
-    start_pool: concurrent.futures.ThreadPoolExecutor
-    stop_pool: concurrent.futures.ThreadPoolExecutor
+    queue: orderqueue.OrderQueue
     tenure: ownership.Tenure
     clock: clocks.Clock
     lease_ms: int
+    is_live: Callable[[ledgers.Run], bool]
     may_start: Callable[[ports.WorkerInfo], bool]
     on_started: Callable[[ledgers.Run, ports.Refusal | None], None]
     on_unacknowledged: Callable[[ledgers.Run], None]
@@ -52,6 +58,7 @@
     on_stopped: Callable[[ledgers.Run, bool], None]
     on_fenced: Callable[[fleet.Worker], None]
     on_paced: Callable[[ledgers.Run, int, bool], None]
+    registry: metrics.Metrics
 
 
 class StartArguments(NamedTuple):
@@ -62,35 +69,78 @@
     ticket: str
 
 
+class _Delivery(NamedTuple):
+    """How an order is delivered.
+
+    Attributes:
+        kind: What it orders, for logs and metrics.
+        worker: The worker that is called.
+        max_calls: Number of calls after which a silent worker is given up.
+        call: Calls the worker, which responds to the argument; returns False
+            if the order may not be sent any more.
+        on_end: Called once, with the number of calls and the last response;
+            None if there was no call.
+    """
+
+    kind: str
+    worker: fleet.Worker
+    max_calls: int
+    call: Callable[[ports.OnOutcome], bool]
+    on_end: Callable[[int, ports.OrderOutcome | None], None]
+
+
 def send_start(
     context: OrderContext,
     worker: fleet.Worker,
     run: ledgers.Run,
     start: StartArguments,
 ) -> None:
-    """Send a start in a thread of the pool."""
+    """Send a start when it is its turn."""
+
+    def call(on_outcome: ports.OnOutcome) -> bool:
+        order = _make_start_order(context, worker, run, start)
+        if order is not None:
+            context.workers.start(order, _CALL_TIMEOUT_MS, on_outcome)
+        return order is not None
+
+    def end(calls: int, outcome: ports.OrderOutcome | None) -> None:
+        if outcome is None:
+            context.on_not_sent(run)
+        elif outcome.error or (outcome.refusal is not None and calls > 1):
+            # An earlier call may have started the run, which may have ended.
+            context.on_unacknowledged(run)
+        else:
+            context.on_started(run, outcome.refusal)
+
     _submit(
         context,
-        context.start_pool,
-        "start_failed",
-        _deliver_or_give_up_start,
-        worker,
-        run,
-        start,
+        run.task.group.job_id,
+        _Delivery("start", worker, _MAX_START_CALLS, call, end),
     )
 
 
 def send_stop(
     context: OrderContext, worker: fleet.Worker, run: ledgers.Run
 ) -> None:
-    """Send a stop in a thread of the pool."""
+    """Send a stop when it is its turn, unless the run has ended by then."""
+
+    def call(on_outcome: ports.OnOutcome) -> bool:
+        return context.is_live(run) and _call_stop(
+            context, worker, run.name, run.number, on_outcome
+        )
+
     _submit(
         context,
-        context.stop_pool,
-        "stop_failed",
-        _deliver_or_give_up_stop,
-        worker,
-        run,
+        run.task.group.job_id,
+        _Delivery(
+            "stop",
+            worker,
+            _MAX_STOP_CALLS,
+            call,
+            lambda calls, outcome: context.on_stopped(
+                run, _is_acknowledged(outcome)
+            ),
+        ),
     )
 
 
@@ -100,15 +150,29 @@
     run: ledgers.Run,
     percent: int,
 ) -> None:
-    """Send an order of a pace in a thread of the pool for stops."""
+    """Send an order of a pace when it is its turn."""
+
+    def call(on_outcome: ports.OnOutcome) -> bool:
+        if not ownership.may_renew_worker_leases(context.tenure, context.clock):
+            return False
+        order = ports.PaceOrder(
+            worker.info, run.name, run.number, percent, context.tenure.epoch
+        )
+        context.workers.pace(order, _CALL_TIMEOUT_MS, on_outcome)
+        return True
+
     _submit(
         context,
-        context.stop_pool,
-        "pace_failed",
-        _deliver_or_give_up_pace,
-        worker,
-        run,
-        percent,
+        run.task.group.job_id,
+        _Delivery(
+            "pace",
+            worker,
+            _MAX_PACE_CALLS,
+            call,
+            lambda calls, outcome: context.on_paced(
+                run, percent, _is_acknowledged(outcome)
+            ),
+        ),
     )
 
 
@@ -116,162 +180,130 @@
     context: OrderContext, worker: fleet.Worker, name: str, number: int
 ) -> None:
     """Send a stop for a run that the owner does not need."""
+
+    def call(on_outcome: ports.OnOutcome) -> bool:
+        return _call_stop(context, worker, name, number, on_outcome)
+
     _submit(
         context,
-        context.stop_pool,
-        "foreign_stop_failed",
-        _deliver_orphan_stop,
-        worker,
-        name,
-        number,
+        name.partition(".")[0],
+        _Delivery(
+            "foreign_stop",
+            worker,
+            _MAX_STOP_CALLS,
+            call,
+            lambda calls, outcome: None,
+        ),
     )
 
 
-def _submit(
-    context: OrderContext,
-    pool: concurrent.futures.ThreadPoolExecutor,
-    event: str,
-    call: Callable,
-    *arguments: object,
-) -> None:
-    try:
-        pool.submit(supervision.run_logged, event, call, context, *arguments)
-    except RuntimeError:
-        # The pool is shut down at the end of the tenure.
-        logs.log_event("order_dropped", order=event)
-
-
-def _deliver_or_give_up_start(
+def _make_start_order(
     context: OrderContext,
     worker: fleet.Worker,
     run: ledgers.Run,
     start: StartArguments,
-) -> None:
-    """Send a start; after an unexpected error, it may have been sent."""
-    if not supervision.run_logged(
-        "start_failed", _deliver_start, context, worker, run, start
-    ):
-        context.on_unacknowledged(run)
+) -> ports.StartOrder | None:
+    """Return the order to send now, or None if the run may not start now."""
+    late = context.clock.now_ms() - run.since_ms > _MAX_START_DELAY_MS
+    if late or not ownership.is_lease_valid(context.tenure, context.clock):
+        return None
+    if run.phase is not ledgers.Phase.STARTING:
+        # Its job was cancelled while the start waited for its turn.
+        return None
+    if not context.may_start(worker.info):
+        return None
+    lease = fleet.grant_lease(worker, context.clock, context.lease_ms)
+    if lease is None:
+        return None
+    return ports.StartOrder(
+        worker.info,
+        run.name,
+        run.number,
+        start.payload,
+        start.checkpoint,
+        lease,
+        context.tenure.epoch,
+        start.ticket,
+    )
 
 
-def _deliver_start(
+def _call_stop(
     context: OrderContext,
     worker: fleet.Worker,
-    run: ledgers.Run,
-    start: StartArguments,
-) -> None:
-    calls = 0
-    for _ in range(_MAX_START_CALLS):
-        late = context.clock.now_ms() - run.since_ms > _MAX_START_DELAY_MS
-        if late or not ownership.is_lease_valid(context.tenure, context.clock):
-            break
-        if not context.may_start(worker.info):
-            break
-        lease = fleet.grant_lease(worker, context.clock, context.lease_ms)
-        if lease is None:
-            break
-        order = ports.StartOrder(
-            worker.info,
-            taskjobs.format_task(run.task),
-            run.number,
-            start.payload,
-            start.checkpoint,
-            lease,
-            context.tenure.epoch,
-            start.ticket,
-        )
-        calls += 1
-        try:
-            refusal = context.workers.start(order, _CALL_TIMEOUT_MS)
-        except ports.WorkerSilentError:
-            continue
-        if refusal is ports.Refusal.FENCED:
-            context.on_fenced(worker)
-        if refusal is not None and calls > 1:
-            # The first call may have started the run, which may have ended.
-            break
-        context.on_started(run, refusal)
-        return
-    if calls:
-        context.on_unacknowledged(run)
-    else:
-        context.on_not_sent(run)
-
-
-def _deliver_or_give_up_stop(
-    context: OrderContext, worker: fleet.Worker, run: ledgers.Run
-) -> None:
-    """Send a stop; after an unexpected error, it has to be sent again."""
-    if not supervision.run_logged(
-        "stop_failed", _deliver_stop, context, worker, run
-    ):
-        context.on_stopped(run, False)
+    name: str,
+    number: int,
+    on_outcome: ports.OnOutcome,
+) -> bool:
+    if not ownership.may_renew_worker_leases(context.tenure, context.clock):
+        return False
+    order = ports.StopOrder(worker.info, name, number, context.tenure.epoch)
+    context.workers.stop(order, _CALL_TIMEOUT_MS, on_outcome)
+    return True
 
 
-def _deliver_stop(
-    context: OrderContext, worker: fleet.Worker, run: ledgers.Run
-) -> None:
-    name = taskjobs.format_task(run.task)
-    acknowledged = _call_stop(context, worker, name, run.number)
-    context.on_stopped(run, acknowledged)
+def _is_acknowledged(outcome: ports.OrderOutcome | None) -> bool:
+    return outcome is not None and not outcome.error and outcome.refusal is None
 
 
-def _deliver_or_give_up_pace(
-    context: OrderContext,
-    worker: fleet.Worker,
-    run: ledgers.Run,
-    percent: int,
-) -> None:
-    """Send an order of a pace once; after an error, it is ordered again."""
-    if not supervision.run_logged(
-        "pace_failed", _deliver_pace, context, worker, run, percent
+def _submit(context: OrderContext, flow: str, delivery: _Delivery) -> None:
+    queued_ms = context.clock.now_ms()
+
+    def send(finish: Callable[[bool], None]) -> None:
+        _record_duration(context, "order_wait", delivery, queued_ms)
+        _call(context, delivery, 0, None, finish)
+
+    if not orderqueue.add_order(
+        context.queue, delivery.worker.info.id, flow, send
     ):
-        context.on_paced(run, percent, False)
+        # The queue is closed at the end of the tenure.
+        logs.log_event("order_dropped", order=delivery.kind)
 
 
-def _deliver_pace(
+def _call(
     context: OrderContext,
-    worker: fleet.Worker,
-    run: ledgers.Run,
-    percent: int,
+    delivery: _Delivery,
+    calls: int,
+    last: ports.OrderOutcome | None,
+    finish: Callable[[bool], None],
 ) -> None:
-    acknowledged = False
-    if ownership.may_renew_worker_leases(context.tenure, context.clock):
-        order = ports.PaceOrder(
-            worker.info,
-            taskjobs.format_task(run.task),
-            run.number,
-            percent,
-            context.tenure.epoch,
-        )
-        try:
-            refusal = context.workers.pace(order, _CALL_TIMEOUT_MS)
-        except ports.WorkerSilentError:
-            refusal = ports.Refusal.UNHEALTHY
-        if refusal is ports.Refusal.FENCED:
-            context.on_fenced(worker)
-        acknowledged = refusal is None
-    context.on_paced(run, percent, acknowledged)
+    """Call the worker, again if it is silent, and report how that ended.
 
+    After an unexpected error, the order may have been sent.
+    """
+    called_ms = context.clock.now_ms()
+    sent = False
+
+    def handle(outcome: ports.OrderOutcome) -> None:
+        _record_duration(context, "order_call", delivery, called_ms)
+        if outcome.refusal is ports.Refusal.FENCED:
+            context.on_fenced(delivery.worker)
+        if outcome.error:
+            _call(context, delivery, calls + 1, outcome, finish)
+        else:
+            end(calls + 1, outcome)
+
+    def call() -> None:
+        nonlocal sent
+        sent = calls < delivery.max_calls and delivery.call(handle)
+
+    def end(calls: int, outcome: ports.OrderOutcome | None) -> None:
+        supervision.run_logged(
+            f"{delivery.kind}_failed", delivery.on_end, calls, outcome
+        )
+        finish(outcome is None or not outcome.error)
 
-def _deliver_orphan_stop(
-    context: OrderContext, worker: fleet.Worker, name: str, number: int
-) -> None:
-    _call_stop(context, worker, name, number)
+    if not supervision.run_logged(f"{delivery.kind}_failed", call):
+        end(calls + 1, ports.OrderOutcome(error="unexpected error"))
+    elif not sent:
+        end(calls, last)
 
 
-def _call_stop(
-    context: OrderContext, worker: fleet.Worker, name: str, number: int
-) -> bool:
-    order = ports.StopOrder(worker.info, name, number, context.tenure.epoch)
-    for _ in range(_MAX_STOP_CALLS):
-        if not ownership.may_renew_worker_leases(context.tenure, context.clock):
-            return False
-        try:
-            refusal = context.workers.stop(order, _CALL_TIMEOUT_MS)
-        except ports.WorkerSilentError:
-            continue
-        if refusal is ports.Refusal.FENCED:
-            context.on_fenced(worker)
-        return refusal is None
-    return False
+def _record_duration(
+    context: OrderContext, name: str, delivery: _Delivery, since_ms: int
+) -> None:
+    metrics.record_duration(
+        context.registry,
+        name,
+        context.clock.now_ms() - since_ms,
+        order=delivery.kind,
+    )
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/owner.py
@@ -42,6 +42,7 @@
 from cyclamenshelf_daemon.tasks.overload import deferrals
 from cyclamenshelf_daemon.tasks.overload import demands
 from cyclamenshelf_daemon.tasks.pacing import pacer
+from cyclamenshelf_daemon.tasks.sending import orderqueue
 from cyclamenshelf_daemon.tasks.workerprofiles import estimates
 from cyclamenshelf_daemon.tasks.workerprofiles import learning
 from cyclamenshelf_daemon.tasks.workerprofiles import profilestore
@@ -100,11 +101,11 @@
     )
     owner.orders = orders.OrderContext(
         context.workers,
-        owner.start_pool,
-        owner.stop_pool,
+        owner.order_queue,
         owner.tenure,
         context.clock,
         context.lease_ms,
+        is_live=lambda run: ownerstate.is_live(owner, run),
         may_start=lambda info: requests.may_start(context.evacuations, info),
         on_started=make_poster(ownerruns.handle_start_response),
         on_unacknowledged=make_poster(ownerruns.handle_unacknowledged_start),
@@ -112,6 +113,7 @@
         on_stopped=make_poster(ownerruns.handle_stop_response),
         on_fenced=handle_fencing,
         on_paced=make_poster(pacer.handle_response),
+        registry=context.registry,
     )
 
 
@@ -148,8 +150,7 @@
         owner.publisher.backlogs.put(None)
         for worker in owner.workers.values():
             fleet.close_worker(worker)
-        for pool in (owner.start_pool, owner.stop_pool):
-            pool.shutdown(wait=False, cancel_futures=True)
+        orderqueue.close(owner.order_queue)
         pendingreports.clear_metric(owner.context.registry)
         tracking.clear_metrics(owner.context.registry)
         learning.clear_metric(owner.context.registry)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
@@ -19,8 +19,6 @@
 
 _TICK_MS = 200
 _RESEND_STOP_MS = 1_500
-# Stops that are on their way at a time.
-_MAX_PENDING_STOPS = 256
 # Refusals that say nothing of the task, so that it may start elsewhere.
 _REFUSALS_OF_WORKER = (ports.Refusal.NO_ROOM, ports.Refusal.UNHEALTHY)
 
@@ -84,7 +82,6 @@
     owner: ownerstate.Owner, run: ledgers.Run, acknowledged: bool
 ) -> None:
     """Record whether a stop was acknowledged."""
-    owner.pending_stops -= 1
     if acknowledged and run.stop_acked_ms is None:
         run.stop_acked_ms = owner.context.clock.now_ms()
         worker = owner.workers.get(run.worker_id)
@@ -92,7 +89,15 @@
             worker.list_soon = True
             fleet.wake_worker(worker, run.stop_acked_ms)
     if not acknowledged:
-        run.stop_failed_ms = owner.context.clock.now_ms()
+        _record_failed_stop(owner, run, owner.context.clock.now_ms())
+
+
+def _record_failed_stop(
+    owner: ownerstate.Owner, run: ledgers.Run, now_ms: int
+) -> None:
+    """Record a stop that has to be repeated unless the run ends meanwhile."""
+    run.stop_failed_ms = now_ms
+    owner.failed_stops.append(run)
 
 
 def _mark_job_running(owner: ownerstate.Owner, run: ledgers.Run) -> None:
@@ -117,15 +122,25 @@
         ):
             owner.changed = True
     reports.stop_incomplete_gangs(owner.ledger, owner.unconfirmed_workers)
-    for run in owner.ledger.runs.values():
+    _repeat_stops(owner, now_ms)
+
+
+def _repeat_stops(owner: ownerstate.Owner, now_ms: int) -> None:
+    """Send stops again that were not acknowledged some time ago."""
+    failed, owner.failed_stops = owner.failed_stops, []
+    for run in failed:
         if (
-            run.phase in (ledgers.Phase.STOPPING, ledgers.Phase.LOST)
-            and run.stop_acked_ms is None
-            and run.stop_failed_ms is not None
-            and now_ms - run.stop_failed_ms > _RESEND_STOP_MS
+            not ownerstate.is_live(owner, run)
+            or run.phase not in (ledgers.Phase.STOPPING, ledgers.Phase.LOST)
+            or run.stop_acked_ms is not None
+            or run.stop_failed_ms is None
         ):
+            continue
+        if now_ms - run.stop_failed_ms > _RESEND_STOP_MS:
             run.stop_failed_ms = None
             owner.ledger.stops.append(run)
+        else:
+            owner.failed_stops.append(run)
 
 
 def send_stored_starts(
@@ -209,20 +224,17 @@
 
 
 def send_stops(owner: ownerstate.Owner) -> None:
-    """Send stops that are new or due to be repeated, some at a time.
-
-    Passing thousands to the pool at once takes seconds, as its threads are at
-    work meanwhile.
-    """
-    count = max(0, _MAX_PENDING_STOPS - owner.pending_stops)
-    due = owner.ledger.stops[:count]
-    del owner.ledger.stops[:count]
+    """Send stops that are new or due to be repeated."""
+    due, owner.ledger.stops = owner.ledger.stops, []
     now_ms = owner.context.clock.now_ms()
     for run in due:
+        if not ownerstate.is_live(owner, run):
+            continue
         worker = owner.workers.get(run.worker_id)
         if run.first_stop_ms is None:
             run.first_stop_ms = now_ms
-        run.stop_failed_ms = now_ms if worker is None else None
-        if worker is not None and ownerstate.is_live(owner, run):
-            owner.pending_stops += 1
+        if worker is None:
+            _record_failed_stop(owner, run, now_ms)
+        else:
+            run.stop_failed_ms = None
             orders.send_stop(owner.orders, worker, run)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerstate.py
@@ -1,7 +1,6 @@
 """State of the owner, which only the owner's thread accesses."""
 
 from collections.abc import Callable
-import concurrent.futures
 import queue
 from typing import NamedTuple
 
@@ -28,12 +27,9 @@
 from cyclamenshelf_daemon.tasks.admission import publishing
 from cyclamenshelf_daemon.tasks.endings import stops
 from cyclamenshelf_daemon.tasks.evacuation import requests
+from cyclamenshelf_daemon.tasks.sending import orderqueue
 from cyclamenshelf_daemon.tasks.workerprofiles import storedstate
 
-# Starts and stops have threads of their own: the stops of a cancelled job of
-# thousands of tasks must not keep the starts of others waiting.
-_START_THREADS = 32
-_STOP_THREADS = 16
 _RETRY_GROUP_MS = 150
 # Slowest rate of a worker's clock: bounds the end of a lease that an earlier
 # owner granted at the end of its tenure.
@@ -120,7 +116,8 @@
             speeds.
         report_due_ms: Monotonic time of the next report on pending jobs.
         publisher: Publishes the backlog.
-        pending_stops: Number of stops that are on their way.
+        order_queue: Orders that wait for their turn.
+        failed_stops: Runs whose stop was left without an acknowledgement.
         links: Context of the workers' renewal threads; set at the start.
         orders: Context of start and stop orders; set at the start.
     """
@@ -166,10 +163,9 @@
         self.advice = advice.Advice()
         self.log_limiter = logs.EventLimiter()
         self.work = following.TableCopy(submission.WORK_TABLE)
-        self.start_pool = concurrent.futures.ThreadPoolExecutor(_START_THREADS)
-        self.stop_pool = concurrent.futures.ThreadPoolExecutor(_STOP_THREADS)
+        self.order_queue = orderqueue.OrderQueue()
         self.publisher = publishing.Publisher()
-        self.pending_stops = 0
+        self.failed_stops: list[ledgers.Run] = []
         self.links: links.LinkContext | None = None
         self.orders: orders.OrderContext | None = None
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ports.py
@@ -2,7 +2,8 @@
 
 The composition root provides implementations that call the real services; the
 scheduler itself is independent of any protocol. Every function makes a single
-attempt and returns or raises within its timeout; the caller does the retries.
+attempt and returns, raises or reports the outcome within its timeout; the
+caller does the retries.
 """
 
 from collections.abc import Callable
@@ -257,6 +258,23 @@
     """A worker did not respond; it may have executed the order or still may."""
 
 
+class OrderOutcome(NamedTuple):
+    """How a call with an order ended.
+
+    Attributes:
+        refusal: Why the worker refused the order; None if it accepted it.
+        error: Why there is no response: the worker may have executed the order
+            or still may. Empty if it responded.
+    """
+
+    refusal: Refusal | None = None
+    error: str = ""
+
+
+# Called with the outcome of an order, in a thread that must not wait.
+OnOutcome = Callable[[OrderOutcome], None]
+
+
 class WorkerConnection(NamedTuple):
     """A dedicated connection to one worker.
 
@@ -276,17 +294,18 @@
 class WorkerClient(NamedTuple):
     """Client that sends orders to workers.
 
+    Orders are sent without waiting for the response. Arguments: the order, a
+    timeout in ms, and what is called with the outcome after the call has
+    returned, once.
+
     Attributes:
         connect: Opens the connection over which a worker's lease is renewed.
-        start: Sends a start order; returns None if the task runs. Second
-            argument: timeout in ms. Raises WorkerSilentError.
-        stop: Sends a stop order; returns None if the worker accepted it.
-            Takes and raises the same as `start`.
-        pace: Sends an order of a pace; returns None if the worker accepted
-            it. Takes and raises the same as `start`.
+        start: Sends a start order; it is accepted if the task runs.
+        stop: Sends a stop order.
+        pace: Sends an order of a pace.
     """
 
     connect: Callable[[WorkerInfo], WorkerConnection]
-    start: Callable[[StartOrder, int], Refusal | None]
-    stop: Callable[[StopOrder, int], Refusal | None]
-    pace: Callable[[PaceOrder, int], Refusal | None]
+    start: Callable[[StartOrder, int, OnOutcome], None]
+    stop: Callable[[StopOrder, int, OnOutcome], None]
+    pace: Callable[[PaceOrder, int, OnOutcome], None]
--- /dev/null
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/sending/orderqueue.py
@@ -0,0 +1,139 @@
+"""Which orders to workers are sent next.
+
+Each worker has its own queue and a limited number of orders under way, so that
+one that does not respond delays no orders to others. The orders to a worker
+belong to flows, one for each job, which take turns: those of a small job, or
+that free room for an urgent one, do not wait behind thousands of a large job.
+"""
+
+import collections
+from collections.abc import Callable
+import threading
+
+# Orders to one worker that are under way at a time. A response takes some
+# milliseconds between data centres, so fewer would limit the orders a second.
+_MAX_UNDER_WAY = 8
+# Orders to all workers that are under way at a time, each with a connection. A
+# host has 4,100 descriptors, and all workers may be silent at once.
+_MAX_TOTAL = 1_000
+
+# Sends an order; calls its argument once the order takes up no turn any more,
+# in any thread and also before it returns.
+Send = Callable[[Callable[[bool], None]], None]
+
+
+class _WorkerQueue:
+    """Orders to one worker.
+
+    Attributes:
+        flows: Orders that wait, by flow. The first flow is next.
+        under_way: Number of orders that are under way.
+        limit: How many may be under way; one while the worker is silent.
+        sending: Whether a thread is passing on orders of this worker.
+    """
+
+    def __init__(self) -> None:
+        self.flows: dict[str, collections.deque[Send]] = {}
+        self.under_way = 0
+        self.limit = _MAX_UNDER_WAY
+        self.sending = False
+
+
+class OrderQueue:
+    """Orders of an owner to all workers, which several threads add and end.
+
+    Attributes:
+        under_way: Number of orders that are under way.
+        held_back: Workers whose orders wait as too many are under way.
+    """
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.workers: dict[str, _WorkerQueue] = {}
+        self.under_way = 0
+        self.held_back: dict[str, _WorkerQueue] = {}
+        self.closed = False
+
+
+def add_order(queue: OrderQueue, worker_id: str, flow: str, send: Send) -> bool:
+    """Add an order, and send it if it is its turn.
+
+    Args:
+        queue: The queue.
+        worker_id: The worker to which the order is sent.
+        flow: The job that the order belongs to.
+        send: Sends the order. It must not raise, and must call its argument
+            once, with whether the worker responded or was not called.
+
+    Returns:
+        Whether the order was added; False for a closed queue.
+    """
+    with queue.lock:
+        if queue.closed:
+            return False
+        orders = queue.workers.setdefault(worker_id, _WorkerQueue())
+        orders.flows.setdefault(flow, collections.deque()).append(send)
+    _send_next(queue, worker_id, orders)
+    return True
+
+
+def close(queue: OrderQueue) -> None:
+    """Drop the orders that wait; those under way still end."""
+    with queue.lock:
+        queue.closed = True
+        for orders in queue.workers.values():
+            orders.flows.clear()
+
+
+def _send_next(queue: OrderQueue, worker_id: str, orders: _WorkerQueue) -> None:
+    """Send orders of a worker while there is room for one."""
+
+    def finish(responsive: bool) -> None:
+        with queue.lock:
+            queue.under_way -= 1
+            orders.under_way -= 1
+            orders.limit = _MAX_UNDER_WAY if responsive else 1
+            waiting_id = next(iter(queue.held_back), None)
+            waiting = queue.held_back.pop(waiting_id, None)
+        if waiting is not None:
+            _send_next(queue, waiting_id, waiting)
+        _send_next(queue, worker_id, orders)
+
+    while True:
+        with queue.lock:
+            # An order that ends at once must not send the next one, to a
+            # depth of the whole queue.
+            if orders.sending:
+                return
+            send = _take(queue, worker_id, orders)
+            if send is None:
+                return
+            orders.sending = True
+        try:
+            send(finish)
+        finally:
+            with queue.lock:
+                orders.sending = False
+
+
+def _take(
+    queue: OrderQueue, worker_id: str, orders: _WorkerQueue
+) -> Send | None:
+    """Return the next order, and let the next flow have the turn after it."""
+    if not orders.flows:
+        if not orders.under_way and queue.workers.get(worker_id) is orders:
+            del queue.workers[worker_id]
+        return None
+    if orders.under_way >= orders.limit:
+        return None
+    if queue.under_way >= _MAX_TOTAL:
+        queue.held_back[worker_id] = orders
+        return None
+    flow = next(iter(orders.flows))
+    waiting = orders.flows.pop(flow)
+    send = waiting.popleft()
+    if waiting:
+        orders.flows[flow] = waiting
+    queue.under_way += 1
+    orders.under_way += 1
+    return send
--- a/testing/daemon/tasks/fakefleet.py
+++ b/testing/daemon/tasks/fakefleet.py
@@ -5,12 +5,16 @@
 acknowledged, and rejects the start of a run that has already been stopped.
 """
 
+import concurrent.futures
 import threading
 import time
 
+from testing.daemon.tasks import orderports
+
 from cyclamenshelf_core import taskjobs
 from cyclamenshelf_daemon.tasks import ports
 
+_ORDER_THREADS = 32
 CAPACITY = taskjobs.Resources(32_000, 64_000, 8)
 
 
@@ -144,8 +148,6 @@
             return None
 
     def start(self, order, timeout_ms):
-        if self.start_errors:
-            raise self.start_errors.pop()
         if self.delay_starts:
             self.delay_starts -= 1
             self.delayed_starts.append(order)
@@ -230,17 +232,34 @@
     def find(worker_id):
         return next(w for w in workers if w.info.id == worker_id)
 
+    pool = concurrent.futures.ThreadPoolExecutor(_ORDER_THREADS)
+
+    def make_port(call):
+        return orderports.respond_in_thread(pool.submit, call)
+
+    respond_to_start = make_port(
+        lambda order, timeout_ms: find(order.worker.id).start(order, timeout_ms)
+    )
+
+    def start(order, *arguments):
+        worker = find(order.worker.id)
+        if worker.start_errors:
+            raise worker.start_errors.pop()
+        respond_to_start(order, *arguments)
+
     return ports.WorkerClient(
         connect=lambda info: ports.WorkerConnection(
             find(info.id).renew, lambda: None
         ),
-        start=lambda order, timeout_ms: find(order.worker.id).start(
-            order, timeout_ms
-        ),
-        stop=lambda order, timeout_ms: find(order.worker.id).stop(
-            order, timeout_ms
+        start=start,
+        stop=make_port(
+            lambda order, timeout_ms: find(order.worker.id).stop(
+                order, timeout_ms
+            )
         ),
-        pace=lambda order, timeout_ms: find(order.worker.id).pace(
-            order, timeout_ms
+        pace=make_port(
+            lambda order, timeout_ms: find(order.worker.id).pace(
+                order, timeout_ms
+            )
         ),
     )
--- a/testing/daemon/tasks/histories.py
+++ b/testing/daemon/tasks/histories.py
@@ -259,9 +259,6 @@
             self._patches.setattr(module, "queue", queued)
         for module in (following, writer):
             self._patches.setattr(module, "random", randoms)
-        self._patches.setattr(
-            ownerstate, "concurrent", virtualtime.make_futures(self.scheduler)
-        )
         self._patches.setattr(logs, "log_event", self._log_event)
 
     def _log_event(self, event, level="INFO", **fields):
@@ -447,9 +444,9 @@
             self.network, host, self.workers
         )
 
-        def start(order, timeout_ms):
+        def start(order, *arguments):
             self._check_start(order)
-            return client.start(order, timeout_ms)
+            client.start(order, *arguments)
 
         return client._replace(start=start)
 
--- a/testing/daemon/tasks/simulatedfleet.py
+++ b/testing/daemon/tasks/simulatedfleet.py
@@ -6,6 +6,7 @@
 """
 
 from testing.daemon.tasks import fakestore
+from testing.daemon.tasks import orderports
 from testing.daemon.tasks import virtualtime
 
 from cyclamenshelf_core import errors
@@ -413,19 +414,21 @@
 
         return ports.WorkerConnection(renew, lambda: None)
 
+    def make_port(call_worker):
+        return orderports.respond_in_thread(
+            lambda run: network.scheduler.start(
+                network.scheduler.current.process, run
+            ),
+            lambda order, timeout_ms: call(
+                order.worker,
+                lambda worker, respond: respond((call_worker(worker, order),)),
+                timeout_ms,
+            ),
+        )
+
     return ports.WorkerClient(
         connect,
-        lambda order, timeout_ms: call(
-            order.worker,
-            lambda worker, respond: respond((worker.start(order),)),
-            timeout_ms,
-        ),
-        lambda order, timeout_ms: call(
-            order.worker,
-            lambda worker, respond: respond((worker.stop(order),)),
-            timeout_ms,
-        ),
-        lambda order, timeout_ms: call(
-            order.worker, lambda worker, respond: respond((None,)), timeout_ms
-        ),
+        make_port(lambda worker, order: worker.start(order)),
+        make_port(lambda worker, order: worker.stop(order)),
+        make_port(lambda worker, order: None),
     )
--- a/testing/daemon/tasks/virtualtime.py
+++ b/testing/daemon/tasks/virtualtime.py
@@ -1,9 +1,9 @@
 """Threads that take turns on a virtual clock.
 
-Code that waits by `threading`, `queue`, `concurrent.futures` and the injected
-clock runs unchanged: only one thread runs at a time, and the time advances when
-all of them wait. A history of a minute takes a fraction of a second, and the
-same seed gives the same order of events.
+Code that waits by `threading`, `queue` and the injected clock runs unchanged:
+only one thread runs at a time, and the time advances when all of them wait. A
+history of a minute takes a fraction of a second, and the same seed gives the
+same order of events.
 """
 
 import collections
@@ -242,36 +242,6 @@
         return self._items.popleft()
 
 
-class _Pool:
-    """Stands in for `concurrent.futures.ThreadPoolExecutor`."""
-
-    def __init__(self, scheduler, threads):
-        self._scheduler = scheduler
-        self._threads = threads
-        self._pending = collections.deque()
-        self._running = 0
-        self._closed = False
-
-    def submit(self, call, *arguments):
-        if self._closed:
-            raise RuntimeError("the pool is shut down")
-        self._pending.append((call, arguments))
-        if self._running < self._threads:
-            self._running += 1
-            self._scheduler.start(self._scheduler.current.process, self._work)
-
-    def _work(self):
-        while self._pending:
-            call, arguments = self._pending.popleft()
-            call(*arguments)
-        self._running -= 1
-
-    def shutdown(self, wait, cancel_futures):
-        self._closed = True
-        if cancel_futures:
-            self._pending.clear()
-
-
 def make_threading(scheduler):
     """Return what the code uses of `threading`."""
     return types.SimpleNamespace(
@@ -286,12 +256,3 @@
     return types.SimpleNamespace(
         SimpleQueue=lambda: _Queue(scheduler), Empty=queue.Empty
     )
-
-
-def make_futures(scheduler):
-    """Return what the code uses of `concurrent.futures`."""
-    return types.SimpleNamespace(
-        futures=types.SimpleNamespace(
-            ThreadPoolExecutor=lambda threads: _Pool(scheduler, threads)
-        )
-    )
--- a/testing/platform/standin.py
+++ b/testing/platform/standin.py
@@ -184,27 +184,7 @@
 
     def make_entry(self, **values):
         """Return the entry that the worker writes about itself to the store."""
-        return json.dumps(
-            {
-                "service": "svc",
-                "address": f"127.0.0.1:{self.server.port}",
-                "zone": "z",
-                "version": "v1",
-                "slots": 8,
-                "state": "ready",
-                "cold_remaining_ms": 0,
-                "capacity": {
-                    "cpu": 32_000,
-                    "memory_request_mb": 64_000,
-                    "gpu": 8,
-                },
-                "labels": ["a", "r1-3"],
-                "clock_ms": 1,
-                "sequence": 4,
-                "born": 1,
-            }
-            | values
-        ).encode()
+        return make_worker_entry(f"127.0.0.1:{self.server.port}", **values)
 
     def handle(self, request):
         self.expected.append(request.headers["cyclamenshelf-expected-instance"])
@@ -273,6 +253,31 @@
         )
 
 
+def make_worker_entry(address, **values):
+    """Return the entry of a worker in the store."""
+    return json.dumps(
+        {
+            "service": "svc",
+            "address": address,
+            "zone": "z",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "capacity": {
+                "cpu": 32_000,
+                "memory_request_mb": 64_000,
+                "gpu": 8,
+            },
+            "labels": ["a", "r1-3"],
+            "clock_ms": 1,
+            "sequence": 4,
+            "born": 1,
+        }
+        | values
+    ).encode()
+
+
 REASONS = {
     ports.Refusal.FENCED: "fence",
     ports.Refusal.OLD: "old",
--- a/testing/platform/test_host.py
+++ b/testing/platform/test_host.py
@@ -1,178 +1,19 @@
 """Tests for host processes that run against test servers of the platform."""
 
 import contextlib
-import json
-import os
-import pathlib
 import signal
-import socket
-import subprocess
-import sys
 import time
 
 import pytest
+from testing.platform import clusters
 from testing.platform import standin
-import urllib3
 
 from cyclamenshelf_core import errors
 from cyclamenshelf_daemon.tasks import ports
 
-ROOT = pathlib.Path(__file__).parents[2]
-JOB_ID = "00000000000000a1"
-TIMEOUT_S = 30
-# For thousands of tasks, which are started one by one.
-LONG_TIMEOUT_S = 120
-GRACE_S = 6
 JOB_BODY = {"specification": "x", "steps": [{"count": 2, "cpu": 500, "gpu": 1}]}
 
 
-class Cluster:
-    """A store, a worker and the host processes that a test starts.
-
-    Attributes:
-        ports: By host name, its ports for callers, readiness and metrics.
-        store_servers: The store server that each host uses, by host name.
-    """
-
-    def __init__(self, directory):
-        self.directory = directory
-        self.store_server = standin.StoreServer()
-        self.worker_server = standin.WorkerServer("i-1")
-        self.store_server.fake_store.put(
-            "servers", "i-1", self.worker_server.make_entry()
-        )
-        self.store_server.fake_store.put("servers", "i-2", b'{"state":"ready"}')
-        self.store_server.fake_store.put("op", "config", standin.make_config())
-        self.pool = urllib3.PoolManager(retries=False)
-        self.processes = []
-        self.ports = {}
-        self.store_servers = {}
-
-    def start_host(self, name, own_store_server=False):
-        """Start a host and wait until it is ready.
-
-        Args:
-            name: Name of the host.
-            own_store_server: Whether the host gets a server of its own, which
-                serves the rows of the shared store and can fail separately.
-        """
-        self.store_servers[name] = self.store_server
-        if own_store_server:
-            self.store_servers[name] = standin.StoreServer(
-                self.store_server.fake_store
-            )
-        caller_port, readiness_port = find_free_port(), find_free_port()
-        internal_port = find_free_port_pair()
-        path = self.directory / f"{name}.conf"
-        path.write_text(
-            f"node_name={name}\n"
-            "zone=z\n"
-            "ip_address=127.0.0.1\n"
-            f"listen_addresses.front_addr=127.0.0.1:{caller_port}\n"
-            f"listen_addresses.readiness_addr=127.0.0.1:{readiness_port}\n"
-            f"internal_port_range={internal_port},{internal_port + 1}\n"
-            f"platform.address={self.store_servers[name].address}\n"
-            "platform.cross_partition=true\n"
-            "limits.cpu_share=0.537\n"
-            "limits.cpu_cores=2\n"
-            "bounds.max_hold_ms=10000\n"
-            f"bounds.grace_period_s={GRACE_S}\n"
-            "bounds.status_s=120\n"
-        )
-        process = subprocess.Popen(
-            [sys.executable, str(ROOT / "platform" / "serve.py")],
-            env=os.environ | {"CYCLAMENSHELF_SETTINGS": str(path)},
-            stdout=subprocess.DEVNULL,
-        )
-        self.processes.append(process)
-        self.ports[name] = (caller_port, readiness_port, internal_port)
-        wait_until(lambda: self.get_readiness(name) == 200, f"{name} is ready")
-        return process
-
-    def get_readiness(self, name):
-        port = self.ports[name][1]
-        try:
-            return self.pool.request(
-                "GET", f"http://127.0.0.1:{port}/api/readiness"
-            ).status
-        except urllib3.exceptions.HTTPError:
-            return None
-
-    def call(
-        self, name, method, path=f"/q/{JOB_ID}", body=None, key="key-1", text=""
-    ):
-        """Call a host with a JSON value, or a text, as body."""
-        response = self.pool.request(
-            method,
-            f"http://127.0.0.1:{self.ports[name][0]}{path}",
-            body=text or (body and json.dumps(body)),
-            headers={
-                "Host": "host.example",
-                "Authorization": f"Bearer {key}",
-                "Content-Type": "application/json",
-            },
-        )
-        return response.status, json.loads(response.data or b"{}")
-
-    def wait_for_peers(self, name):
-        """Wait until a host has read the row of another host beside its own."""
-        count_reads = self.store_servers[name].count_reads
-        wait_until(
-            lambda: len(self.list_hosts()) > 1, "the store lists several hosts"
-        )
-        earlier_reads = count_reads("hosts")
-        wait_until(
-            lambda: count_reads("hosts") > earlier_reads,
-            f"{name} reads the list of hosts",
-        )
-        time.sleep(0.1)
-
-    def list_hosts(self):
-        return self.store_server.fake_store.read("hosts", 0).rows
-
-    def wait_for_state(self, name, state):
-        wait_until(
-            lambda: self.call(name, "GET") == (200, {"state": state}), state
-        )
-
-
-def wait_until(condition, description, timeout_s=TIMEOUT_S):
-    deadline = time.monotonic() + timeout_s
-    while not condition():
-        assert time.monotonic() < deadline, (
-            f"timed out after {timeout_s} s: {description}"
-        )
-        time.sleep(0.02)
-
-
-def find_free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-def find_free_port_pair():
-    """Return a free port that is followed by another free port."""
-    while True:
-        port = find_free_port()
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port + 1))
-            return port
-
-
-@pytest.fixture
-def cluster(tmp_path):
-    created = Cluster(tmp_path)
-    yield created
-    for host in created.processes:
-        host.kill()
-        host.wait()
-    created.pool.clear()
-    for store in {created.store_server, *created.store_servers.values()}:
-        store.server.stop()
-    created.worker_server.server.stop()
-
-
 def test_job_is_served_by_any_host_and_survives_loss_of_owner(cluster):
     # Guards against losing a job, or starting its tasks again, when the host
     # that owns it is killed.
@@ -181,10 +22,10 @@
     assert cluster.call("b", "POST", body=JOB_BODY)[0] == 200
     assert cluster.call("a", "POST", body=JOB_BODY)[0] == 200
     worker = cluster.worker_server.worker
-    wait_until(lambda: len(worker.running) == 2, "both tasks run")
+    clusters.wait_until(lambda: len(worker.running) == 2, "both tasks run")
     cluster.wait_for_state("b", "running")
     owner.kill()
-    wait_until(lambda: worker.epoch == 2, "the other host took over")
+    clusters.wait_until(lambda: worker.epoch == 2, "the other host took over")
     for name in list(worker.running):
         worker.end(name)
     cluster.wait_for_state("b", "completed")
@@ -207,7 +48,7 @@
     cluster.store_server.fake_store.put(
         "op", "config", standin.make_config(9, ("key-2",))
     )
-    wait_until(
+    clusters.wait_until(
         lambda: cluster.call("a", "GET", key="key-1")[0] == 401,
         "the new lists take effect",
     )
@@ -237,16 +78,18 @@
     def list_others():
         return [name for name in list(worker.running) if "b2." in name]
 
-    wait_until(lambda: len(list_others()) == 2, "the other job runs")
-    wait_until(
-        lambda: len(worker.running) == 10_002, "all tasks run", LONG_TIMEOUT_S
+    clusters.wait_until(lambda: len(list_others()) == 2, "the other job runs")
+    clusters.wait_until(
+        lambda: len(worker.running) == 10_002,
+        "all tasks run",
+        clusters.LONG_TIMEOUT_S,
     )
     for name in list(worker.running):
         worker.end(name)
-    wait_until(
+    clusters.wait_until(
         lambda: cluster.call("a", "GET") == (200, {"state": "completed"}),
         "the job is completed",
-        LONG_TIMEOUT_S,
+        clusters.LONG_TIMEOUT_S,
     )
     assert len(worker.started) == 10_002
 
@@ -258,7 +101,7 @@
     fake_store, inserts = cluster.store_server.fake_store, []
 
     def lose_inserts(transaction):
-        if any(key.key == f"job.{JOB_ID}" for key in transaction.puts):
+        if any(key.key == f"job.{clusters.JOB_ID}" for key in transaction.puts):
             inserts.append(transaction)
             raise errors.OutcomeUnknownError("table", "no answer")
 
@@ -275,8 +118,10 @@
     other_path = "/q/00000000000000b2"
     assert cluster.call("a", "POST", other_path, JOB_BODY)[0] == 200
     worker = cluster.worker_server.worker
-    wait_until(lambda: len(worker.running) == 2, "the other job runs")
-    assert not [name for name in worker.running if name.startswith(JOB_ID)]
+    clusters.wait_until(lambda: len(worker.running) == 2, "the other job runs")
+    assert not [
+        name for name in worker.running if name.startswith(clusters.JOB_ID)
+    ]
 
 
 LARGE_STEP = {"count": 10_000}
@@ -318,13 +163,17 @@
     cluster.store_server.busy = True
     status, _ = cluster.call("a", "POST", body=JOB_BODY)
     assert status == 503
-    wait_until(lambda: cluster.get_readiness("a") == 503, "a is not ready")
-    wait_until(
+    clusters.wait_until(
+        lambda: cluster.get_readiness("a") == 503, "a is not ready"
+    )
+    clusters.wait_until(
         lambda: cluster.call("a", "GET")[0] == 503,
         "calls with an API key are rejected",
     )
     cluster.store_server.busy = False
-    wait_until(lambda: cluster.get_readiness("a") == 200, "a is ready again")
+    clusters.wait_until(
+        lambda: cluster.get_readiness("a") == 200, "a is ready again"
+    )
     assert cluster.call("a", "GET")[0] == 410
     assert not cluster.worker_server.worker.started
 
@@ -334,15 +183,15 @@
     # two hosts were killed at the end of their grace period.
     owner = cluster.start_host("a")
     cluster.start_host("b")
-    wait_until(
+    clusters.wait_until(
         lambda: cluster.worker_server.worker.epoch == 1, "a is the owner"
     )
     owner.send_signal(signal.SIGTERM)
-    wait_until(
+    clusters.wait_until(
         lambda: cluster.worker_server.worker.epoch == 2, "b is the owner"
     )
     assert cluster.call("a", "POST", body=JOB_BODY)[0] == 200
-    assert owner.wait(TIMEOUT_S) == 0
+    assert owner.wait(clusters.TIMEOUT_S) == 0
     cluster.wait_for_state("b", "running")
 
 
@@ -369,7 +218,7 @@
     cluster.start_host("a")
     fake_store = cluster.store_server.fake_store
     worker = cluster.worker_server.worker
-    wait_until(lambda: worker.epoch == 1, "a is the owner")
+    clusters.wait_until(lambda: worker.epoch == 1, "a is the owner")
     fake_store.put("op", "evacuate/z", b"{}")
     time.sleep(1)
     assert cluster.call("a", "POST", body=JOB_BODY)[0] == 200
@@ -378,4 +227,4 @@
     fake_store.commit(
         ports.Transaction({}, {}, (ports.RowKey("op", "evacuate/z"),)), 0
     )
-    wait_until(lambda: len(worker.running) == 2, "both tasks run")
+    clusters.wait_until(lambda: len(worker.running) == 2, "both tasks run")
