--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/orders.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/orders.py
@@ -20,6 +20,9 @@
 # An order of a pace is repeated by the owner, which may choose another by then.
 _MAX_PACE_CALLS = 1
 _CALL_TIMEOUT_MS = 700
+# Stops that are queued together: the first of thousands are on their way while
+# the others are queued.
+_MAX_BATCH = 500
 # A start that is not sent within this time is returned to the queue.
 _MAX_START_DELAY_MS = 1_500
 
@@ -75,6 +78,7 @@
     Attributes:
         kind: What it orders, for logs and metrics.
         worker: The worker that is called.
+        flow: See `orderqueue.Order`.
         max_calls: Number of calls after which a silent worker is given up.
         call: Calls the worker, which responds to the argument; returns False
             if the order may not be sent any more.
@@ -84,6 +88,7 @@
 
     kind: str
     worker: fleet.Worker
+    flow: str
     max_calls: int
     call: Callable[[ports.OnOutcome], bool]
     on_end: Callable[[int, ports.OrderOutcome | None], None]
@@ -112,34 +117,36 @@
         else:
             context.on_started(run, outcome.refusal)
 
-    _submit(
-        context,
-        run.task.group.job_id,
-        _Delivery("start", worker, _MAX_START_CALLS, call, end),
-    )
+    job_id = run.task.group.job_id
+    delivery = _Delivery("start", worker, job_id, _MAX_START_CALLS, call, end)
+    _submit(context, [delivery])
 
 
-def send_stop(
-    context: OrderContext, worker: fleet.Worker, run: ledgers.Run
+def send_stops(
+    context: OrderContext, stops: list[tuple[fleet.Worker, ledgers.Run]]
 ) -> None:
-    """Send a stop when it is its turn, unless the run has ended by then."""
+    """Send stops when it is their turn, unless the run has ended by then."""
+    for first in range(0, len(stops), _MAX_BATCH):
+        batch = stops[first : first + _MAX_BATCH]
+        _submit(context, [_make_stop(context, *stop) for stop in batch])
+
 
+def _make_stop(
+    context: OrderContext, worker: fleet.Worker, run: ledgers.Run
+) -> _Delivery:
     def call(on_outcome: ports.OnOutcome) -> bool:
         return context.is_live(run) and _call_stop(
             context, worker, run.name, run.number, on_outcome
         )
 
-    _submit(
-        context,
+    return _Delivery(
+        "stop",
+        worker,
         run.task.group.job_id,
-        _Delivery(
-            "stop",
-            worker,
-            _MAX_STOP_CALLS,
-            call,
-            lambda calls, outcome: context.on_stopped(
-                run, _is_acknowledged(outcome)
-            ),
+        _MAX_STOP_CALLS,
+        call,
+        lambda calls, outcome: context.on_stopped(
+            run, _is_acknowledged(outcome)
         ),
     )
 
@@ -161,19 +168,17 @@
         context.workers.pace(order, _CALL_TIMEOUT_MS, on_outcome)
         return True
 
-    _submit(
-        context,
+    delivery = _Delivery(
+        "pace",
+        worker,
         run.task.group.job_id,
-        _Delivery(
-            "pace",
-            worker,
-            _MAX_PACE_CALLS,
-            call,
-            lambda calls, outcome: context.on_paced(
-                run, percent, _is_acknowledged(outcome)
-            ),
+        _MAX_PACE_CALLS,
+        call,
+        lambda calls, outcome: context.on_paced(
+            run, percent, _is_acknowledged(outcome)
         ),
     )
+    _submit(context, [delivery])
 
 
 def send_orphan_stop(
@@ -184,17 +189,15 @@
     def call(on_outcome: ports.OnOutcome) -> bool:
         return _call_stop(context, worker, name, number, on_outcome)
 
-    _submit(
-        context,
+    delivery = _Delivery(
+        "foreign_stop",
+        worker,
         name.partition(".")[0],
-        _Delivery(
-            "foreign_stop",
-            worker,
-            _MAX_STOP_CALLS,
-            call,
-            lambda calls, outcome: None,
-        ),
+        _MAX_STOP_CALLS,
+        call,
+        lambda calls, outcome: None,
     )
+    _submit(context, [delivery])
 
 
 def _make_start_order(
@@ -245,18 +248,20 @@
     return outcome is not None and not outcome.error and outcome.refusal is None
 
 
-def _submit(context: OrderContext, flow: str, delivery: _Delivery) -> None:
+def _submit(context: OrderContext, deliveries: list[_Delivery]) -> None:
     queued_ms = context.clock.now_ms()
 
-    def send(finish: Callable[[bool], None]) -> None:
-        _record_duration(context, "order_wait", delivery, queued_ms)
-        _call(context, delivery, 0, None, finish)
+    def make_order(delivery: _Delivery) -> orderqueue.Order:
+        def send(finish: Callable[[bool], None]) -> None:
+            _record_duration(context, "order_wait", delivery, queued_ms)
+            _call(context, delivery, 0, None, finish)
+
+        return orderqueue.Order(delivery.worker.info.id, delivery.flow, send)
 
-    if not orderqueue.add_order(
-        context.queue, delivery.worker.info.id, flow, send
-    ):
+    orders = [make_order(delivery) for delivery in deliveries]
+    if not orderqueue.add_orders(context.queue, orders):
         # The queue is closed at the end of the tenure.
-        logs.log_event("order_dropped", order=delivery.kind)
+        logs.log_event("order_dropped", orders=len(orders))
 
 
 def _call(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerruns.py
@@ -225,8 +225,11 @@
 
 def send_stops(owner: ownerstate.Owner) -> None:
     """Send stops that are new or due to be repeated."""
+    if not owner.ledger.stops:
+        return
     due, owner.ledger.stops = owner.ledger.stops, []
     now_ms = owner.context.clock.now_ms()
+    stopping: list[tuple[fleet.Worker, ledgers.Run]] = []
     for run in due:
         if not ownerstate.is_live(owner, run):
             continue
@@ -237,4 +240,5 @@
             _record_failed_stop(owner, run, now_ms)
         else:
             run.stop_failed_ms = None
-            orders.send_stop(owner.orders, worker, run)
+            stopping.append((worker, run))
+    orders.send_stops(owner.orders, stopping)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/sending/orderqueue.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/sending/orderqueue.py
@@ -8,7 +8,9 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 import threading
+from typing import NamedTuple
 
 # Orders to one worker that are under way at a time. A response takes some
 # milliseconds between data centres, so fewer would limit the orders a second.
@@ -17,11 +19,25 @@
 # host has 4,100 descriptors, and all workers may be silent at once.
 _MAX_TOTAL = 1_000
 
-# Sends an order; calls its argument once the order takes up no turn any more,
-# in any thread and also before it returns.
+# Sends an order; calls its argument once, in any thread and also before it
+# returns, when the order takes up no turn any more: with True if the worker
+# responded or was not called. It must not raise.
 Send = Callable[[Callable[[bool], None]], None]
 
 
+class Order(NamedTuple):
+    """An order to a worker.
+
+    Attributes:
+        flow: The job that the order belongs to.
+        send: Sends the order.
+    """
+
+    worker_id: str
+    flow: str
+    send: Send
+
+
 class _WorkerQueue:
     """Orders to one worker.
 
@@ -55,25 +71,29 @@
         self.closed = False
 
 
-def add_order(queue: OrderQueue, worker_id: str, flow: str, send: Send) -> bool:
-    """Add an order, and send it if it is its turn.
+def add_orders(queue: OrderQueue, orders: Iterable[Order]) -> bool:
+    """Add orders, and send those whose turn it is.
 
     Args:
         queue: The queue.
-        worker_id: The worker to which the order is sent.
-        flow: The job that the order belongs to.
-        send: Sends the order. It must not raise, and must call its argument
-            once, with whether the worker responded or was not called.
+        orders: The orders. Thousands are added together, as a thread that
+            takes the lock for each of them waits for the one that sends.
 
     Returns:
-        Whether the order was added; False for a closed queue.
+        Whether the orders were added; False for a closed queue.
     """
+    added: dict[str, _WorkerQueue] = {}
     with queue.lock:
         if queue.closed:
             return False
-        orders = queue.workers.setdefault(worker_id, _WorkerQueue())
-        orders.flows.setdefault(flow, collections.deque()).append(send)
-    _send_next(queue, worker_id, orders)
+        for order in orders:
+            waiting = queue.workers.setdefault(order.worker_id, _WorkerQueue())
+            waiting.flows.setdefault(order.flow, collections.deque()).append(
+                order.send
+            )
+            added[order.worker_id] = waiting
+    for worker_id, waiting in added.items():
+        _send_next(queue, worker_id, waiting)
     return True
 
 
--- a/testing/daemon/tasks/sending/test_orderqueue.py
+++ b/testing/daemon/tasks/sending/test_orderqueue.py
@@ -18,7 +18,8 @@
             self.sent.append(name)
             self.finish[name] = finish
 
-        return orderqueue.add_order(self.queue, worker_id, flow, send)
+        order = orderqueue.Order(worker_id, flow, send)
+        return orderqueue.add_orders(self.queue, [order])
 
 
 @pytest.fixture
@@ -77,8 +78,8 @@
         if len(sent) > 1:
             finish(True)
 
-    for _ in range(10_000):
-        orderqueue.add_order(sender.queue, "w0", "job", send)
+    order = orderqueue.Order("w0", "job", send)
+    orderqueue.add_orders(sender.queue, [order] * 10_000)
     sent[0](True)
     assert len(sent) == 10_000
     assert not sender.queue.workers
