--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ledger.py
@@ -161,6 +161,7 @@
     """All jobs and runs of a tenure.
 
     Attributes:
+        by_name: Runs by the name of their task, which workers list.
         by_group: Runs by group; `by_job` and `by_worker` index the same runs.
         used: Resources allocated to runs, by worker.
         step_counts: Number of runs by job, step and worker. The runs of all
@@ -189,6 +190,7 @@
         self.stop_terms = stop_terms
         self.jobs: dict[str, JobEntry] = {}
         self.runs: dict[taskjobs.Task, Run] = {}
+        self.by_name: dict[str, Run] = {}
         self.by_group: dict[taskjobs.Group, dict[taskjobs.Task, Run]] = {}
         self.by_job: dict[str, dict[taskjobs.Task, Run]] = {}
         self.by_worker: dict[str, dict[taskjobs.Task, Run]] = {}
@@ -244,6 +246,7 @@
 def add_run(ledger: Ledger, run: Run) -> None:
     """Add a run to all indexes."""
     ledger.runs[run.task] = run
+    ledger.by_name[run.name] = run
     for index, key in _list_indexes(ledger, run):
         index.setdefault(key, {})[run.task] = run
     need = get_need(ledger, run)
@@ -261,6 +264,7 @@
 def remove_run(ledger: Ledger, run: Run) -> None:
     """Remove a run from all indexes, which frees its resources."""
     del ledger.runs[run.task]
+    del ledger.by_name[run.name]
     for index, key in _list_indexes(ledger, run):
         del index[key][run.task]
         if not index[key]:
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/pacing/pacer.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/pacing/pacer.py
@@ -31,10 +31,9 @@
     """Set the pace of the best-effort tasks on a worker after its report."""
     if owner.context.pacing_terms is None:
         return
-    readings = {(run.name, run.run): run.reading for run in running}
     sensitive = _list_runs(owner.ledger, worker, _is_latency_sensitive)
     best_effort = _list_runs(owner.ledger, worker, _is_best_effort)
-    load = _record_load(owner, worker, sensitive, readings)
+    load = _record_load(owner, worker, sensitive, running)
     worker.max_wait_ms = _REPORT_WAIT_MS if sensitive and best_effort else None
     if not best_effort:
         owner.paces.pop(worker.info.id, None)
@@ -53,16 +52,19 @@
     is_wanted: Callable[[taskjobs.Step], bool],
 ) -> list[ledgers.Run]:
     """Return the running tasks on a worker of the steps that are wanted."""
+    runs = ledgers.list_worker_runs(ledger, worker.info.id)
+    # A worker may run thousands of tasks, of a few steps.
+    groups = {run.task.group for run in runs}
+    wanted = {g for g in groups if is_wanted(_get_step(ledger, g))}
     return [
         run
-        for run in ledgers.list_worker_runs(ledger, worker.info.id)
-        if run.phase is ledgers.Phase.RUNNING
-        and is_wanted(_get_step(ledger, run))
+        for run in runs
+        if run.task.group in wanted and run.phase is ledgers.Phase.RUNNING
     ]
 
 
-def _get_step(ledger: ledgers.Ledger, run: ledgers.Run) -> taskjobs.Step:
-    return ledger.jobs[run.task.group.job_id].job.steps[run.task.group.step]
+def _get_step(ledger: ledgers.Ledger, group: taskjobs.Group) -> taskjobs.Step:
+    return ledger.jobs[group.job_id].job.steps[group.step]
 
 
 def _is_latency_sensitive(step: taskjobs.Step) -> bool:
@@ -77,18 +79,22 @@
     owner: ownerstate.Owner,
     worker: fleet.Worker,
     sensitive: list[ledgers.Run],
-    readings: dict[tuple[str, int], float | None],
+    running: Iterable[ports.RunningTask],
 ) -> float | None:
     """Return the load, and record whether best-effort tasks may start.
 
     They may not while a tail is unknown, as it is until a task serves.
     """
+    by_name = {run.name: run for run in sensitive}
     tails = []
-    for run in sensitive:
-        tail_ms = readings.get((taskjobs.format_task(run.task), run.number))
-        if tail_ms:
-            target_ms = _get_step(owner.ledger, run).tail_target_ms
-            tails.append((tail_ms, target_ms))
+    for reported in running if sensitive else ():
+        run = by_name.get(reported.name)
+        if run is None or run.number != reported.run:
+            continue
+        if reported.reading:
+            step = _get_step(owner.ledger, run.task.group)
+            target_ms = step.tail_target_ms
+            tails.append((reported.reading, target_ms))
     load = control.compute_load(tails)
     workers = owner.ledger.best_effort_room
     has_room = len(tails) == len(sensitive) and control.has_room(load)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
@@ -156,13 +156,7 @@
     times: planning.Times,
     stop_orphan: StopOrphan,
 ) -> None:
-    task = taskjobs.parse_task(running.name)
-    entry = ledger.jobs.get(task.group.job_id) if task else None
-    step = ledgers.get_step(entry, task) if entry and task else None
-    if task is None or entry is None or step is None:
-        _record_orphan(worker, running, worker.info.capacity, stop_orphan)
-        return
-    run = ledger.runs.get(task)
+    run = ledger.by_name.get(running.name)
     if run is not None and (
         run.number == running.run and run.worker_id == worker.info.id
     ):
@@ -174,6 +168,12 @@
                 ledger, worker, run, times.now_ms, running.percent
             )
         return
+    task = taskjobs.parse_task(running.name)
+    entry = ledger.jobs.get(task.group.job_id) if task else None
+    step = ledgers.get_step(entry, task) if entry and task else None
+    if task is None or entry is None or step is None:
+        _record_orphan(worker, running, worker.info.capacity, stop_orphan)
+        return
     job_ended = entry.progress.state in taskprogress.ENDED
     task_done = task.index in entry.progress.done.get(task.group, ())
     if run is not None or job_ended or task_done:
@@ -247,7 +247,7 @@
     """
     requeued = False
     for run in ledgers.list_worker_runs(ledger, worker.info.id):
-        if (taskjobs.format_task(run.task), run.number) in listed:
+        if (run.name, run.number) in listed:
             continue
         if run.phase is ledgers.Phase.LOST:
             acknowledged_ms = run.stop_acked_ms
