Stop the orphans that a worker lists once, not with each list

It sent a stop for each of them with each list of the worker, twice a second, without a window, and logged a line for each, as the former owner did for its own stops.

Change: an orphan is recorded with the time of its stop, which is sent again after 2.5 s if it is still listed; the stops of a response are queued together, and skipped if the run has ended meanwhile; the log has a line for a worker and job (`foreign_task job= worker= tasks=`).

Evidence: test_stop_of_an_orphan_is_not_repeated_with_each_list_of_its_worker fails before (153 stops for 3 tasks in 1 s).

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/fleet.py
@@ -2,6 +2,7 @@
 
 import enum
 import threading
+from typing import NamedTuple
 
 from cyclamenshelf_core import clock as clocks
 from cyclamenshelf_core import freecapacity
@@ -48,6 +49,18 @@
     REFUSING = "refusing"
 
 
+class Orphan(NamedTuple):
+    """A run on a worker that the owner does not need.
+
+    Attributes:
+        need: Resources that it uses.
+        stop_sent_ms: Monotonic time at which its stop was last passed on.
+    """
+
+    need: taskjobs.Resources
+    stop_sent_ms: int
+
+
 class Worker:
     """One incarnation of a worker as the owner sees it.
 
@@ -87,7 +100,7 @@
         cold_until_ms: Monotonic time until which it is slow after its start.
         leaves_ms: Monotonic time until which it certainly stays while it
             drains.
-        orphans: Resources of runs on it that the owner does not need.
+        orphans: Runs on it that the owner does not need.
         failed_jobs: Jobs whose tasks failed on it since its last success.
         quarantined_until_ms: Monotonic time at which its quarantine ends.
         refusing_until_ms: Monotonic time until which it gets no tasks, as it
@@ -123,7 +136,7 @@
         self.evacuated = False
         self.cold_until_ms = 0
         self.leaves_ms = 0
-        self.orphans: dict[RunKey, taskjobs.Resources] = {}
+        self.orphans: dict[RunKey, Orphan] = {}
         self.failed_jobs: list[str] = []
         self.quarantined_until_ms = 0
         self.refusing_until_ms = 0
@@ -370,6 +383,6 @@
     worker: Worker, held: taskjobs.Resources
 ) -> taskjobs.Resources:
     free = taskjobs.subtract(worker.info.capacity, held)
-    for need in worker.orphans.values():
-        free = taskjobs.subtract(free, need)
+    for orphan in worker.orphans.values():
+        free = taskjobs.subtract(free, orphan.need)
     return free
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/orders.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/orders.py
@@ -181,23 +181,25 @@
     _submit(context, [delivery])
 
 
-def send_orphan_stop(
-    context: OrderContext, worker: fleet.Worker, name: str, number: int
+def send_orphan_stops(
+    context: OrderContext, worker: fleet.Worker, runs: list[fleet.RunKey]
 ) -> None:
-    """Send a stop for a run that the owner does not need."""
-
-    def call(on_outcome: ports.OnOutcome) -> bool:
-        return _call_stop(context, worker, name, number, on_outcome)
+    """Send stops for runs that the owner does not need."""
+
+    def make_delivery(name: str, number: int) -> _Delivery:
+        return _Delivery(
+            "foreign_stop",
+            worker,
+            name.partition(".")[0],
+            _MAX_STOP_CALLS,
+            lambda on_outcome: (
+                (name, number) in worker.orphans
+                and _call_stop(context, worker, name, number, on_outcome)
+            ),
+            lambda calls, outcome: None,
+        )
 
-    delivery = _Delivery(
-        "foreign_stop",
-        worker,
-        name.partition(".")[0],
-        _MAX_STOP_CALLS,
-        call,
-        lambda calls, outcome: None,
-    )
-    _submit(context, [delivery])
+    _submit(context, [make_delivery(*run) for run in runs])
 
 
 def _make_start_order(
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/ownerworkers.py
@@ -327,8 +327,8 @@
         sent_ms,
         response,
         ownerstate.read_times(owner),
-        lambda worker, name, number: orders.send_orphan_stop(
-            owner.orders, worker, name, number
+        lambda worker, runs: orders.send_orphan_stops(
+            owner.orders, worker, runs
         ),
     )
     pacer.apply_report(owner, worker, response.running)
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
@@ -21,7 +21,11 @@
 # A long-running task does its work once it is listed with this.
 _AT_WORK_PERCENT = 100
 
-StopOrphan = Callable[[fleet.Worker, str, int], None]
+# How long a run that the owner does not need may be listed before its stop is
+# sent again. It is repeated meanwhile if the worker does not respond.
+_RESEND_ORPHAN_STOP_MS = 2_500
+
+StopOrphans = Callable[[fleet.Worker, list[fleet.RunKey]], None]
 
 
 def apply_response(
@@ -30,7 +34,7 @@
     sent_ms: int,
     response: ports.RenewalResponse,
     times: planning.Times,
-    stop_orphan: StopOrphan,
+    stop_orphans: StopOrphans,
 ) -> bool:
     """Apply a response to the ledger; return whether capacity changed.
 
@@ -40,7 +44,7 @@
         sent_ms: Monotonic time at which the request was sent.
         response: The running and ended tasks that the worker lists.
         times: The current time on both clocks.
-        stop_orphan: Called with each run that the owner does not need.
+        stop_orphans: Called with the runs that the owner does not need.
     """
     fleet.record_response(worker, response.clock_ms, times.now_ms)
     lostworkers.withdraw_losses(ledger, worker)
@@ -48,10 +52,14 @@
     previous_number = worker.applied_number
     runends.apply_ends(ledger, worker, response.ended, *times)
     running_keys = {(run.name, run.run) for run in response.running}
+    orphans: dict[fleet.RunKey, taskjobs.Resources] = {}
     for running in response.running:
-        _apply_running_task(ledger, worker, running, times, stop_orphan)
+        need = _apply_running_task(ledger, worker, running, times)
+        if need is not None:
+            orphans[running.name, running.run] = need
     for key in worker.orphans.keys() - running_keys:
         del worker.orphans[key]
+    _stop_orphans(worker, orphans, times.now_ms, stop_orphans)
     requeued = response.complete and _requeue_missing(
         ledger, worker, sent_ms, running_keys | ended_keys, times.now_ms
     )
@@ -154,8 +162,8 @@
     worker: fleet.Worker,
     running: ports.RunningTask,
     times: planning.Times,
-    stop_orphan: StopOrphan,
-) -> None:
+) -> taskjobs.Resources | None:
+    """Apply a run that is listed; return what it uses if it is not needed."""
     run = ledger.by_name.get(running.name)
     if run is not None and (
         run.number == running.run and run.worker_id == worker.info.id
@@ -167,18 +175,16 @@
             samples.record_report(
                 ledger, worker, run, times.now_ms, running.percent
             )
-        return
+        return None
     task = taskjobs.parse_task(running.name)
     entry = ledger.jobs.get(task.group.job_id) if task else None
     step = ledgers.get_step(entry, task) if entry and task else None
     if task is None or entry is None or step is None:
-        _record_orphan(worker, running, worker.info.capacity, stop_orphan)
-        return
+        return worker.info.capacity
     job_ended = entry.progress.state in taskprogress.ENDED
     task_done = task.index in entry.progress.done.get(task.group, ())
     if run is not None or job_ended or task_done:
-        _record_orphan(worker, running, step.need, stop_orphan)
-        return
+        return step.need
     run = ledgers.Run(
         task,
         running.run,
@@ -198,6 +204,7 @@
         run=running.run,
         worker=worker.info.id,
     )
+    return None
 
 
 def _update_run(
@@ -212,24 +219,36 @@
     run.checkpoint = max(run.checkpoint, running.checkpoint)
 
 
-def _record_orphan(
+def _stop_orphans(
     worker: fleet.Worker,
-    running: ports.RunningTask,
-    need: taskjobs.Resources,
-    stop_orphan: StopOrphan,
+    orphans: dict[fleet.RunKey, taskjobs.Resources],
+    now_ms: int,
+    stop_orphans: StopOrphans,
 ) -> None:
-    """Record the resources of a run that is not needed, and stop it."""
-    key = (running.name, running.run)
-    if key not in worker.orphans:
+    """Record the runs that are not needed, and stop those that are new.
+
+    A worker may list thousands of them twice a second until all have ended.
+    """
+    new_jobs: collections.Counter[str] = collections.Counter()
+    due: list[fleet.RunKey] = []
+    for key, need in orphans.items():
+        known = worker.orphans.get(key)
+        if known is None:
+            new_jobs[key[0].partition(".")[0]] += 1
+        elif now_ms - known.stop_sent_ms < _RESEND_ORPHAN_STOP_MS:
+            continue
+        worker.orphans[key] = fleet.Orphan(need, now_ms)
+        due.append(key)
+    for job_id, tasks in new_jobs.items():
         logs.log_event(
             "foreign_task",
             "WARNING",
-            task=running.name,
-            run=running.run,
+            job=job_id,
             worker=worker.info.id,
+            tasks=tasks,
         )
-    worker.orphans[key] = need
-    stop_orphan(worker, running.name, running.run)
+    if due:
+        stop_orphans(worker, due)
 
 
 def _requeue_missing(
--- a/testing/daemon/tasks/test_owner.py
+++ b/testing/daemon/tasks/test_owner.py
@@ -156,6 +156,20 @@
     conftest.wait_until(lambda: not worker.running, "the task is stopped")
 
 
+def test_stop_of_an_orphan_is_not_repeated_with_each_list_of_its_worker(cell):
+    # A new owner of thousands of cancelled tasks sent each stop several times,
+    # and the last task ended 4.6 s after the cancellation.
+    worker = cell.workers[0]
+    worker.ignore_stops = True
+    for index in range(3):
+        worker.running[f"00000000000000ff.0.0.{index}"] = 7
+    cell.start_owner()
+    conftest.wait_until(lambda: worker.stop_count, "a stop is sent")
+    time.sleep(1.0)
+    assert worker.stop_count == 3
+    conftest.wait_until(lambda: worker.stop_count > 3, "they are repeated")
+
+
 def test_progress_write_with_a_lost_response_is_resolved(cell):
     cell.start_owner()
     job_id = cell.submit(builders.make_step(1))
