Raise the orders under way to a worker with its responses

Cause, found on reading: with 8 orders to each worker and 1,000 in all, the workers of a lost data centre would take most of what may be under way for 0.7 s, and 1,500 connections beside those of the links exceed the 1,638 descriptors of the smallest hosts that are in use.

Change: a worker that has not responded gets 2 orders at a time, one more with each response up to 8, and 1 after an order without response; 500 in all, and 600 connections before idle ones are closed.

--- a/packages/daemon/src/cyclamenshelf_daemon/asynccalls.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/asynccalls.py
@@ -17,8 +17,8 @@
 from cyclamenshelf_daemon import logs
 
 # Open connections to all servers together. Beyond this, those that have been
-# idle for the longest are closed: a host has 4,100 descriptors.
-_MAX_CONNECTIONS = 1_500
+# idle for the longest are closed: a small host has 1,638 descriptors.
+_MAX_CONNECTIONS = 600
 _MAX_BODY_BYTES = 1_000_000
 _FIRST_FINAL_STATUS = 200
 
--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/sending/orderqueue.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/sending/orderqueue.py
@@ -15,9 +15,12 @@
 # Orders to one worker that are under way at a time. A response takes some
 # milliseconds between data centres, so fewer would limit the orders a second.
 _MAX_UNDER_WAY = 8
+# The limit of a worker that has not responded yet; each response raises it by
+# one. The workers of a data centre may all be silent.
+_FIRST_UNDER_WAY = 2
 # Orders to all workers that are under way at a time, each with a connection. A
-# host has 4,100 descriptors, and all workers may be silent at once.
-_MAX_TOTAL = 1_000
+# small host has 1,638 descriptors, and all workers may be silent at once.
+_MAX_TOTAL = 500
 
 # Sends an order; calls its argument once, in any thread and also before it
 # returns, when the order takes up no turn any more: with True if the worker
@@ -44,14 +47,14 @@
     Attributes:
         flows: Orders that wait, by flow. The first flow is next.
         under_way: Number of orders that are under way.
-        limit: How many may be under way; one while the worker is silent.
+        limit: How many may be under way; one after an order without response.
         sending: Whether a thread is passing on orders of this worker.
     """
 
     def __init__(self) -> None:
         self.flows: dict[str, collections.deque[Send]] = {}
         self.under_way = 0
-        self.limit = _MAX_UNDER_WAY
+        self.limit = _FIRST_UNDER_WAY
         self.sending = False
 
 
@@ -112,7 +115,9 @@
         with queue.lock:
             queue.under_way -= 1
             orders.under_way -= 1
-            orders.limit = _MAX_UNDER_WAY if responsive else 1
+            orders.limit = (
+                min(_MAX_UNDER_WAY, orders.limit + 1) if responsive else 1
+            )
             waiting_id = next(iter(queue.held_back), None)
             waiting = queue.held_back.pop(waiting_id, None)
         if waiting is not None:
--- a/testing/daemon/tasks/sending/test_orderqueue.py
+++ b/testing/daemon/tasks/sending/test_orderqueue.py
@@ -50,6 +50,20 @@
     assert sender.sent == [0, 1, 2, 3]
 
 
+def test_worker_that_responds_gets_more_orders_at_a_time(sender, monkeypatch):
+    # The connections of hundreds of silent workers would exceed what a host
+    # may open.
+    monkeypatch.setattr(orderqueue, "_MAX_UNDER_WAY", 3)
+    monkeypatch.setattr(orderqueue, "_MAX_TOTAL", 100)
+    for number in range(9):
+        sender.add("w0", "job", number)
+    assert sender.sent == [0, 1]
+    sender.finish[0](True)
+    assert sender.sent == [0, 1, 2, 3]
+    sender.finish[1](True)
+    assert sender.sent == [0, 1, 2, 3, 4]
+
+
 def test_silent_worker_delays_no_orders_to_others(sender):
     for number in range(4):
         sender.add("silent", "job", f"silent-{number}")
