--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/startqueue.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/startqueue.py
@@ -1,7 +1,7 @@
 """How many starts are sent at a time.
 
-The starts of all jobs are sent in turn, by a bounded number of threads. Without
-a limit, a job of thousands of tasks keeps the others waiting for seconds.
+A start is sent once its worker is stored with the job. Without a limit, the
+rows of a job of thousands of tasks keep the others waiting for seconds.
 """
 
 from collections.abc import Iterable
@@ -10,8 +10,7 @@
 from cyclamenshelf_core import planstate
 from cyclamenshelf_daemon.tasks import ledger as ledgers
 
-# Starts that are not acknowledged yet, of one step and of all. An owner sends
-# several hundred starts a second.
+# Starts that are not acknowledged yet, of one step and of all.
 MAX_STEP_STARTS = 256
 _MAX_STARTS = 512
 _PENDING = (ledgers.Phase.PLANNED, ledgers.Phase.STARTING)
