Keep workers whose orders are held back from waiting for good

And where the orders of many such workers end at once, as they do when the owner's lease has expired, each end sent the next, to a depth of all workers.

Change: the room is offered while there is any, by one thread at a time.

Evidence: test_worker_with_nothing_left_to_send_holds_back_no_other and test_orders_of_many_held_back_workers_may_end_at_once fail before (the order is not sent; RecursionError).

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/sending/orderqueue.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/sending/orderqueue.py
@@ -64,6 +64,7 @@
     Attributes:
         under_way: Number of orders that are under way.
         held_back: Workers whose orders wait as too many are under way.
+        serving: Whether a thread is passing on orders of such workers.
     """
 
     def __init__(self) -> None:
@@ -71,6 +72,7 @@
         self.workers: dict[str, _WorkerQueue] = {}
         self.under_way = 0
         self.held_back: dict[str, _WorkerQueue] = {}
+        self.serving = False
         self.closed = False
 
 
@@ -118,10 +120,7 @@
             orders.limit = (
                 min(_MAX_UNDER_WAY, orders.limit + 1) if responsive else 1
             )
-            waiting_id = next(iter(queue.held_back), None)
-            waiting = queue.held_back.pop(waiting_id, None)
-        if waiting is not None:
-            _send_next(queue, waiting_id, waiting)
+        _serve_held_back(queue)
         _send_next(queue, worker_id, orders)
 
     while True:
@@ -141,6 +140,30 @@
                 orders.sending = False
 
 
+def _serve_held_back(queue: OrderQueue) -> None:
+    """Send orders of workers that were held back while there is room.
+
+    A worker may have nothing to send any more, or as much under way as it may.
+    """
+    while True:
+        with queue.lock:
+            # As in `_send_next`, orders may end at once, of many workers.
+            if (
+                queue.serving
+                or not queue.held_back
+                or queue.under_way >= _MAX_TOTAL
+            ):
+                return
+            worker_id = next(iter(queue.held_back))
+            orders = queue.held_back.pop(worker_id)
+            queue.serving = True
+        try:
+            _send_next(queue, worker_id, orders)
+        finally:
+            with queue.lock:
+                queue.serving = False
+
+
 def _take(
     queue: OrderQueue, worker_id: str, orders: _WorkerQueue
 ) -> Send | None:
--- a/testing/daemon/tasks/sending/test_orderqueue.py
+++ b/testing/daemon/tasks/sending/test_orderqueue.py
@@ -83,6 +83,38 @@
     assert sender.sent == ["a", "b", "c", "d"]
 
 
+def test_worker_with_nothing_left_to_send_holds_back_no_other(sender):
+    # The room that became free was offered to it alone; the other worker got
+    # its order with the next one only.
+    for number in range(3):
+        sender.add(f"w{number}", "job", number)
+    sender.add("w0", "job", "a")
+    sender.add("w3", "job", "b")
+    sender.queue.workers["w0"].flows.clear()
+    sender.finish[1](True)
+    assert sender.sent == [0, 1, 2, "b"]
+
+
+def test_orders_of_many_held_back_workers_may_end_at_once(sender):
+    # The owner's lease expires while a data centre is silent: each order that
+    # was dropped sent one of the next worker, to a depth of all workers.
+    for number in range(3):
+        sender.add(f"w{number}", "job", number)
+    dropped = []
+
+    def drop(finish):
+        dropped.append(finish)
+        finish(True)
+
+    orders = [
+        orderqueue.Order(f"x{number}", "job", drop) for number in range(1_100)
+    ]
+    orderqueue.add_orders(sender.queue, orders)
+    sender.finish[0](True)
+    assert len(dropped) == 1_100
+    assert sender.queue.under_way == 2
+
+
 def test_thousands_of_orders_that_end_at_once_are_sent(sender):
     # Each of them sent the next one, to a depth that raised RecursionError.
     sent = []
