--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/reports.py
@@ -181,6 +181,8 @@
     step = ledgers.get_step(entry, task) if entry and task else None
     if task is None or entry is None or step is None:
         return worker.info.capacity
+    # The name may be another spelling of that of a task with a run.
+    run = ledger.runs.get(task)
     job_ended = entry.progress.state in taskprogress.ENDED
     task_done = task.index in entry.progress.done.get(task.group, ())
     if run is not None or job_ended or task_done:
