--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/startqueue.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/startqueue.py
@@ -1,7 +1,7 @@
 """How many starts are sent at a time.
 
-A start is sent once its worker is stored with the job. Without a limit, the
-rows of a job of thousands of tasks keep the others waiting for seconds.
+A start is sent once its worker is stored with the job. Without a limit, a
+job of thousands of tasks keeps the others waiting for seconds.
 """
 
 from collections.abc import Iterable
