Log how long after the end of its job a task has ended

Cause, found on reading: the line `job_tasks_ended` had no age, so that a task that ran on for seconds after a cancellation could not be seen in the log.

Change: `age_ms`, from the end of the job to the line.

Evidence: test_ends_of_an_ended_job_are_logged_once_with_their_delay fails before. No play: one field of a line that stands for many tasks.

--- a/packages/daemon/src/cyclamenshelf_daemon/tasks/runends.py
+++ b/packages/daemon/src/cyclamenshelf_daemon/tasks/runends.py
@@ -47,6 +47,7 @@
             kind=kind,
             tasks=tasks,
             number=worker.applied_number,
+            age_ms=wall_ms - ledger.jobs[job_id].progress.ended_ms,
         )
 
 
